--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt $(PROJECTS:%=packages/%/pyproject.toml)
+$(STAMP): requirements.txt $(PROJECTS:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.txt
-	$(BIN)/pip install -q --no-build-isolation --no-deps $(PROJECTS:%=-e packages/%)
+	$(BIN)/pip install -q --no-build-isolation --no-deps $(PROJECTS:%=-e packages/%) -e platform
 	touch $@
 
 run: setup
@@ -27,6 +27,6 @@
 	@$(BIN)/python -m bronzeline_standins bench $(if $(SCENARIO),--scenario $(SCENARIO)) $(if $(SEED),--seed $(SEED))
 
 check: setup
-	$(BIN)/ruff format --check packages .ci
-	$(BIN)/ruff check packages .ci
+	$(BIN)/ruff format --check packages platform .ci
+	$(BIN)/ruff check packages platform .ci
 	$(BIN)/mypy
--- a/packages/daemon/bronzeline_daemon/clock.py
+++ b/packages/daemon/bronzeline_daemon/clock.py
@@ -4,7 +4,7 @@
 
 import time
 
-__all__ = ["MonotonicClock"]
+__all__ = ["BootClock", "MonotonicClock"]
 
 
 class MonotonicClock:
@@ -13,3 +13,11 @@
     def now_ms(self) -> float:
         """Return a monotonic time in milliseconds."""
         return time.monotonic() * 1000.0
+
+
+class BootClock:
+    """Read a clock that never jumps and goes on while the VM is suspended."""
+
+    def now_ms(self) -> float:
+        """Return a monotonic time in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -0,0 +1,123 @@
+"""Carry out one attempt on an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tornado.iostream import IOStream
+
+from bronzeline_daemon.forwarding.channels import Channels
+from bronzeline_daemon.forwarding.exchange import Exchange, OutgoingRequest
+from bronzeline_kernel.exceptions import StreamBrokenError, UpstreamUnreachableError
+from bronzeline_kernel.forwarding import (
+    AnswerHead,
+    CallerRequest,
+    Fault,
+    Send,
+    WireFormat,
+    WorkspaceKeys,
+)
+
+__all__ = ["Attempt", "AttemptListener"]
+
+
+@dataclass(frozen=True)
+class AttemptListener:
+    """Take in what an attempt brings."""
+
+    on_head: Callable[[int, AnswerHead], None]
+    on_data: Callable[[int, bytes], None]
+    on_end: Callable[[int], None]
+    on_lost: Callable[[int, Fault], None]
+
+
+@dataclass
+class Attempt:
+    """Send a request to one upstream and report its answer."""
+
+    send: Send
+    request: CallerRequest
+    workspace: WorkspaceKeys | None
+    channels: Channels
+    wire: WireFormat
+    listener: AttemptListener
+    head: AnswerHead | None = None
+    _stream: IOStream | None = None
+    _task: asyncio.Task[None] | None = field(default=None)
+    _is_abandoned: bool = False
+
+    def start(self) -> None:
+        """Begin in the background."""
+        self._task = asyncio.create_task(self._run())
+
+    def abandon(self) -> None:
+        """Close the connection at once and report nothing more."""
+        self._is_abandoned = True
+        if self._stream is not None:
+            self._stream.close()
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        number = self.send.number
+        fault = await self._exchange()
+        if self._is_abandoned:
+            return
+        if fault is None:
+            self.listener.on_end(number)
+        else:
+            self.listener.on_lost(number, fault)
+
+    async def _exchange(self) -> Fault | None:
+        address = self.send.upstream.address
+        try:
+            stream = await self.channels.acquire(address)
+        except UpstreamUnreachableError:
+            return Fault.UNREACHABLE
+        self._stream = stream
+        exchange = Exchange(stream, self._take_head, self._take_data)
+        try:
+            await exchange.run(self._outgoing())
+        except StreamBrokenError:
+            stream.close()
+            return self._fault() or Fault.BROKEN
+        if exchange.is_reusable and self.head is not None:
+            self.channels.release(address, stream, self.head.keep_alive_ms)
+        else:
+            stream.close()
+        return self._fault()
+
+    def _outgoing(self) -> OutgoingRequest:
+        request = self.request
+        headers = self.wire.upstream_headers(request, self.send, self.workspace)
+        return OutgoingRequest(
+            request.method, request.target, tuple(headers), request.body
+        )
+
+    def _take_head(self, status: int, headers: list[tuple[str, str]]) -> bool:
+        head = self.wire.read_answer(self.request, status, headers)
+        if not head.is_own and not head.is_rejected and not head.is_other_process:
+            return False
+        self.head = head
+        if not self._is_abandoned and self._fault() is None:
+            self.listener.on_head(self.send.number, head)
+        return True
+
+    def _take_data(self, chunk: bytes) -> None:
+        if not self._is_abandoned and self._fault() is None:
+            self.listener.on_data(self.send.number, chunk)
+
+    def _fault(self) -> Fault | None:
+        """Return what the head of the answer says against it."""
+        head = self.head
+        if head is None:
+            return None
+        if head.is_other_process:
+            return Fault.REPLACED
+        if head.is_rejected:
+            return Fault.FULL
+        if head.is_encoded:
+            return Fault.GARBLED
+        return None
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
@@ -0,0 +1,48 @@
+"""Relay short calls: the answer goes to the caller once it is whole."""
+
+from __future__ import annotations
+
+from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
+from bronzeline_daemon.forwarding.relay import Relay, RelayParts
+from bronzeline_kernel.forwarding import (
+    AnswerHead,
+    CallerRequest,
+    CallRun,
+    WorkspaceKeys,
+)
+
+__all__ = ["CallRelay"]
+
+
+class CallRelay(Relay):
+    """Run one short call."""
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        run: CallRun,
+        request: CallerRequest,
+        workspace: WorkspaceKeys | None,
+        answer: CallerAnswer,
+    ) -> None:
+        super().__init__(parts, run, request, workspace, answer)
+        self._run = run
+        self._chunks: dict[int, list[bytes]] = {}
+
+    def take_head(self, number: int, head: AnswerHead) -> None:
+        """Wait for the body."""
+        self._chunks[number] = []
+
+    def take_data(self, number: int, chunk: bytes) -> None:
+        """Keep a piece of the body."""
+        self._chunks[number].append(chunk)
+
+    def take_end(self, number: int) -> None:
+        """Offer the whole answer to the machine."""
+        self.perform(self._run.answered(number, self.now_ms()))
+
+    def finish(self, number: int) -> None:
+        """Send the whole answer to the caller."""
+        head = self.head_of(number)
+        assert head is not None
+        self.answer.send(head.status, head.headers, b"".join(self._chunks[number]))
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_answer.py
@@ -0,0 +1,101 @@
+"""Write one answer to a caller."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from http.client import responses
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+__all__ = ["CallerAnswer"]
+
+Header = tuple[str, str]
+
+# Headers that concern one connection only; the body is framed anew.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class CallerAnswer:
+    """Answer one request of a caller, whole or piece by piece."""
+
+    def __init__(self, connection: HTTP1Connection) -> None:
+        self._connection = connection
+        self.has_started = False
+        self.is_over = False
+        self.is_gone = False
+
+    def on_gone(self, callback: Callable[[], None]) -> None:
+        """Call back when the caller closes the connection."""
+
+        def take_close() -> None:
+            self.is_gone = True
+            if not self.is_over:
+                callback()
+
+        self._connection.set_close_callback(take_close)
+
+    def send(self, status: int, headers: Iterable[Header], body: bytes = b"") -> None:
+        """Send a whole answer."""
+        if self.is_over:
+            return
+        fields = _end_to_end(headers)
+        fields["Content-Length"] = str(len(body))
+        self._write_head(status, fields, body)
+        self.finish()
+
+    def start(self, status: int, headers: Iterable[Header]) -> None:
+        """Send the head of an answer whose length is not known."""
+        if not self.is_over and not self.has_started:
+            self._write_head(status, _end_to_end(headers), b"")
+
+    def write(self, chunk: bytes) -> None:
+        """Send a piece of the body."""
+        if not self.is_over and not self.is_gone:
+            self._connection.write(chunk).add_done_callback(_retrieve)
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        if not self.is_over:
+            self.is_over = True
+            if not self.is_gone:
+                self._connection.finish()
+
+    def cut(self) -> None:
+        """End the answer so that it does not look complete."""
+        if not self.is_over:
+            self.is_over = True
+            self._connection.close()
+
+    def _write_head(self, status: int, fields: HTTPHeaders, body: bytes) -> None:
+        self.has_started = True
+        reason = responses.get(status, "Unknown")
+        start_line = ResponseStartLine("HTTP/1.1", status, reason)
+        written = self._connection.write_headers(start_line, fields, body or None)
+        written.add_done_callback(_retrieve)
+
+
+def _end_to_end(headers: Iterable[Header]) -> HTTPHeaders:
+    fields = HTTPHeaders()
+    for name, value in headers:
+        if name.lower() not in CONNECTION_HEADERS:
+            fields.add(name, value)
+    return fields
+
+
+def _retrieve(written: asyncio.Future[None]) -> None:
+    if not written.cancelled():
+        written.exception()
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -0,0 +1,169 @@
+"""Send one HTTP request over a channel and read its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from bronzeline_daemon.forwarding.channels import Address, Channels
+from bronzeline_kernel.exceptions import StreamBrokenError
+
+__all__ = ["Exchange", "OutgoingRequest", "WholeAnswer", "fetch"]
+
+Header = tuple[str, str]
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Answers that belong to no request may stand before the one asked for.
+MAX_FOREIGN_ANSWERS = 3
+PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
+
+
+@dataclass(frozen=True)
+class OutgoingRequest:
+    """Hold a request as it goes out."""
+
+    method: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes = b""
+
+
+@dataclass
+class WholeAnswer:
+    """Hold an answer that was read to its end."""
+
+    status: int
+    headers: list[Header]
+    body: bytes
+
+
+def _drop(data: bytes) -> None:
+    """Take bytes that belong to no request."""
+
+
+@dataclass
+class Exchange(HTTPMessageDelegate):
+    """Read the answer to one request on one connection.
+
+    `on_head` says whether the answer belongs to the request; the bytes of
+    one that doesn't are dropped, and the next answer is read.
+    """
+
+    stream: IOStream
+    on_head: Callable[[int, list[Header]], bool]
+    on_data: Callable[[bytes], None]
+    has_answer: bool = False
+    is_framed: bool = False
+    closes: bool = False
+    _is_whole: bool = False
+    _take: Callable[[bytes], None] = field(default=_drop)
+
+    async def run(self, request: OutgoingRequest) -> None:
+        """Return once the answer is whole; raises `StreamBrokenError`."""
+        connection = HTTP1Connection(self.stream, True, PARAMETERS)
+        try:
+            self._write(connection, request)
+            for _ in range(MAX_FOREIGN_ANSWERS):
+                await connection.read_response(self)
+                if self.has_answer:
+                    break
+        except (StreamClosedError, OSError, ValueError) as error:
+            raise StreamBrokenError(str(error)) from None
+        if not self._is_whole:
+            raise StreamBrokenError(str(self.stream.error or "answer not whole"))
+
+    @property
+    def is_reusable(self) -> bool:
+        """Say whether another request may follow on this connection."""
+        is_idle = not self.stream.closed() and not self.stream.writing()
+        return self._is_whole and self.is_framed and not self.closes and is_idle
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Take the head of an answer."""
+        assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < 200:
+            return
+        self._is_whole = False
+        listed = list(headers.get_all())
+        self.is_framed = "Content-Length" in headers or (
+            "Transfer-Encoding" in headers or start_line.code in (204, 304)
+        )
+        self.closes = "close" in headers.get("Connection", "").lower()
+        self.has_answer = self.on_head(start_line.code, listed)
+        self._take = self.on_data if self.has_answer else _drop
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take bytes of the body."""
+        self._take(chunk)
+
+    def finish(self) -> None:
+        """Take in that the body ended; a reset is no end."""
+        self._is_whole = self.has_answer and self.stream.error is None
+
+    def on_connection_close(self) -> None:
+        """Take in that the connection broke."""
+        self._is_whole = False
+
+    def _write(self, connection: HTTP1Connection, request: OutgoingRequest) -> None:
+        headers = HTTPHeaders()
+        for name, value in request.headers:
+            headers.add(name, value)
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(request.body))
+        start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
+        written = connection.write_headers(start_line, headers, request.body or None)
+        written.add_done_callback(_retrieve)
+        connection.finish()
+
+
+def _retrieve(written: asyncio.Future[None]) -> None:
+    if not written.cancelled():
+        written.exception()
+
+
+async def fetch(
+    channels: Channels,
+    address: Address,
+    request: OutgoingRequest,
+    timeout_ms: float,
+) -> WholeAnswer:
+    """Send a request and return its whole answer.
+
+    Raises `UpstreamUnreachableError` when nothing was sent and
+    `StreamBrokenError` when the answer did not come, or not in time.
+    """
+    stream = await channels.acquire(address, timeout_ms)
+    answer = WholeAnswer(0, [], b"")
+    chunks: list[bytes] = []
+
+    def take_head(status: int, headers: Iterable[Header]) -> bool:
+        answer.status = status
+        answer.headers = list(headers)
+        return True
+
+    exchange = Exchange(stream, take_head, chunks.append)
+    try:
+        await asyncio.wait_for(exchange.run(request), timeout_ms / 1000.0)
+    except TimeoutError:
+        raise StreamBrokenError(f"no answer within {timeout_ms:.0f} ms") from None
+    finally:
+        if exchange.is_reusable:
+            channels.release(address, stream, None)
+        else:
+            stream.close()
+    answer.body = b"".join(chunks)
+    return answer
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/front.py
@@ -0,0 +1,121 @@
+"""Read callers' requests and hand them on whole."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
+from bronzeline_kernel.exceptions import RequestError
+from bronzeline_kernel.forwarding import CallerLimits, CallerRequest, WireFormat
+
+__all__ = ["Front"]
+
+OnRequest = Callable[[CallerRequest, CallerAnswer], None]
+
+# tornado closes a connection whose head is larger; ours are refused before.
+MAX_HEAD_BYTES = 128 * 1024
+HEADER_OVERHEAD_BYTES = 4
+
+
+class Front(HTTPServerConnectionDelegate):
+    """Serve callers within the limits of the configuration."""
+
+    def __init__(
+        self,
+        wire: WireFormat,
+        limits: Callable[[], CallerLimits],
+        on_request: OnRequest,
+    ) -> None:
+        self.wire = wire
+        self.limits = limits
+        self.on_request = on_request
+        self.server = HTTPServer(self, max_header_size=MAX_HEAD_BYTES)
+        self.apply_limits()
+
+    def apply_limits(self) -> None:
+        """Take the idle timeout of the configuration in force."""
+        idle_s = self.limits().idle_timeout_ms / 1000.0
+        self.server.conn_params.header_timeout = idle_s
+
+    def close_after_answers(self) -> None:
+        """Ask callers to open no further request on their connections."""
+        self.server.conn_params.no_keep_alive = True
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return who reads the next request of a connection."""
+        assert isinstance(request_conn, HTTP1Connection)
+        return RequestReader(self, request_conn)
+
+
+class RequestReader(HTTPMessageDelegate):
+    """Read one request to its end."""
+
+    def __init__(self, front: Front, connection: HTTP1Connection) -> None:
+        self._front = front
+        self._connection = connection
+        self._limits = front.limits()
+        self._answer = CallerAnswer(connection)
+        self._start_line: RequestStartLine | None = None
+        self._headers: list[tuple[str, str]] = []
+        self._chunks: list[bytes] = []
+        self._n_bytes = 0
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Take the head; refuse one that is over the limits."""
+        assert isinstance(start_line, RequestStartLine)
+        self._start_line = start_line
+        self._headers = list(headers.get_all())
+        n_head_bytes = sum(
+            len(name) + len(value) + HEADER_OVERHEAD_BYTES
+            for name, value in self._headers
+        )
+        if n_head_bytes > self._limits.max_header_bytes:
+            self._answer.send(431, [])
+            return
+        self._connection.set_body_timeout(self._limits.idle_timeout_ms / 1000.0)
+        length = headers.get("Content-Length", "0").partition(",")[0]
+        if length.isdigit() and int(length) > self._limits.max_body_bytes:
+            self._answer.send(413, [])
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        self._n_bytes += len(chunk)
+        if self._n_bytes > self._limits.max_body_bytes:
+            self._answer.send(413, [])
+        if not self._answer.is_over:
+            self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Hand the whole request on."""
+        if self._answer.is_over:
+            return
+        assert self._start_line is not None
+        try:
+            request = self._front.wire.read_request(
+                self._start_line.method, self._start_line.path, self._headers
+            )
+        except RequestError as error:
+            self._answer.send(400, [], str(error).encode())
+            return
+        self._front.on_request(request.with_body(b"".join(self._chunks)), self._answer)
+
+    def on_connection_close(self) -> None:
+        """Drop what was read of a request whose connection broke."""
+        self._chunks.clear()
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/prober.py
@@ -0,0 +1,41 @@
+"""Find out whether silent upstreams still accept connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from bronzeline_daemon.forwarding.channels import (
+    CONNECT_TIMEOUT_MS,
+    accepts_connection,
+)
+from bronzeline_kernel.forwarding import ListedUpstream
+
+__all__ = ["Prober"]
+
+Incarnation = tuple[str, int]
+OnResult = Callable[[Incarnation, bool], None]
+
+
+class Prober:
+    """Ask an upstream once for all streams that wait for it."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[Incarnation, list[OnResult]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def ask(self, upstream: ListedUpstream, on_result: OnResult) -> None:
+        """Call back with the upstream and whether it answers."""
+        waiting = self._waiting.get(upstream.incarnation)
+        if waiting is not None:
+            waiting.append(on_result)
+            return
+        self._waiting[upstream.incarnation] = [on_result]
+        task = asyncio.create_task(self._ask(upstream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, upstream: ListedUpstream) -> None:
+        is_alive = await accepts_connection(upstream.address, CONNECT_TIMEOUT_MS)
+        for on_result in self._waiting.pop(upstream.incarnation):
+            on_result(upstream.incarnation, is_alive)
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -0,0 +1,262 @@
+"""Carry out what a forwarding machine asks for, for one request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import ClassVar, Protocol
+
+from bronzeline_daemon.forwarding.attempt import Attempt, AttemptListener
+from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
+from bronzeline_daemon.forwarding.channels import Channels
+from bronzeline_daemon.forwarding.prober import Prober
+from bronzeline_daemon.logs import log_event
+from bronzeline_kernel.forwarding import (
+    Abandon,
+    Action,
+    AnswerHead,
+    CallerRequest,
+    Fail,
+    Failure,
+    Fault,
+    Finish,
+    ListedUpstream,
+    Probe,
+    Send,
+    WireFormat,
+    WorkspaceKeys,
+)
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["Machine", "Relay", "RelayParts", "RequestReport"]
+
+STATUS_OF_FAILURE = {
+    Failure.NOT_RUN: 503,
+    Failure.UNKNOWN_OUTCOME: 502,
+    Failure.TIMED_OUT: 504,
+}
+# A timer that fires this late shows that the process stood still.
+STALL_MS = 150.0
+
+
+class Machine(Protocol):
+    """Decide on one request."""
+
+    is_over: bool
+
+    def start(self, now_ms: float) -> list[Action]:
+        """Begin."""
+
+    def lost(self, number: int, fault: Fault, now_ms: float) -> list[Action]:
+        """Take in that an attempt failed."""
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Look at the time."""
+
+    def cancel(self) -> list[Action]:
+        """Stop, since the caller left."""
+
+
+@dataclass(frozen=True)
+class RequestReport:
+    """Hold what became of a request."""
+
+    request_id: str
+    outcome: str
+    reason: str
+    upstream_id: str
+    n_attempts: int
+    duration_ms: float
+
+
+@dataclass(frozen=True)
+class RelayParts:
+    """Hold what every relay of a router works with."""
+
+    clock: Clock
+    channels: Channels
+    wire: WireFormat
+    prober: Prober
+    report: Callable[[RequestReport], None]
+    on_leaving: Callable[[str], None]
+
+
+class Relay:
+    """Run a machine for one request; kinds of work derive from it."""
+
+    # How often the machine is asked to look at the time.
+    tick_ms: ClassVar[float] = 50.0
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        machine: Machine,
+        request: CallerRequest,
+        workspace: WorkspaceKeys | None,
+        answer: CallerAnswer,
+    ) -> None:
+        self.parts = parts
+        self.request = request
+        self.answer = answer
+        self._machine = machine
+        self._workspace = workspace
+        self._attempts: dict[int, Attempt] = {}
+        self._started_at_ms = parts.clock.now_ms()
+        self._upstream_id = ""
+        self._timer: asyncio.TimerHandle | None = None
+        self._listener = AttemptListener(
+            self.take_head, self.take_data, self.take_end, self._take_lost
+        )
+
+    def start(self) -> None:
+        """Begin with the first attempt."""
+        self.answer.on_gone(self._caller_left)
+        self._arm()
+        self.perform(self._machine.start(self.now_ms()))
+
+    def now_ms(self) -> float:
+        """Return the time."""
+        return self.parts.clock.now_ms()
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Carry out what the machine asks for, in order."""
+        for action in actions:
+            match action:
+                case Send():
+                    self._send(action)
+                case Abandon(number):
+                    self._abandon(number)
+                case Probe(upstream):
+                    self.parts.prober.ask(upstream, self.take_probe)
+                case Finish(number):
+                    self.finish(number)
+                    self._report("served", "")
+                case Fail():
+                    self._fail(action)
+
+    def take_head(self, number: int, head: AnswerHead) -> None:
+        """Take the head of an attempt's answer."""
+        raise NotImplementedError
+
+    def take_data(self, number: int, chunk: bytes) -> None:
+        """Take bytes of an attempt's answer."""
+        raise NotImplementedError
+
+    def take_end(self, number: int) -> None:
+        """Take in that an attempt's answer is whole."""
+        raise NotImplementedError
+
+    def take_probe(self, upstream: tuple[str, int], is_alive: bool) -> None:
+        """Take in whether an upstream accepts connections."""
+
+    def finish(self, number: int) -> None:
+        """End the caller's answer with what an attempt brought."""
+        raise NotImplementedError
+
+    def note_stall(self) -> None:
+        """Take in that this process stood still."""
+
+    def head_of(self, number: int) -> AnswerHead | None:
+        """Return the head of an attempt's answer."""
+        attempt = self._attempts.get(number)
+        return attempt.head if attempt else None
+
+    def _send(self, action: Send) -> None:
+        self._upstream_id = action.upstream.upstream_id
+        attempt = Attempt(
+            action,
+            self.request,
+            self._workspace,
+            self.parts.channels,
+            self.parts.wire,
+            self._listener,
+        )
+        self._attempts[action.number] = attempt
+        log_event(
+            "attempt_sent",
+            request_id=self.request.request_id,
+            number=action.number,
+            upstream_id=action.upstream.upstream_id,
+            budget_ms=round(action.budget_ms),
+            after_event=action.after_event,
+            copy_from=_name(action.copy_from.upstream if action.copy_from else None),
+            copy_to=_name(action.copy_to),
+        )
+        attempt.start()
+
+    def _abandon(self, number: int) -> None:
+        attempt = self._attempts.get(number)
+        if attempt is not None:
+            attempt.abandon()
+            log_event(
+                "attempt_abandoned",
+                request_id=self.request.request_id,
+                number=number,
+                upstream_id=attempt.send.upstream.upstream_id,
+                after_ms=round(self.now_ms() - self._started_at_ms),
+            )
+
+    def _take_lost(self, number: int, fault: Fault) -> None:
+        self.note_lost(number, fault)
+        self.perform(self._machine.lost(number, fault, self.now_ms()))
+
+    def note_lost(self, number: int, fault: Fault) -> None:
+        """Log that an attempt failed."""
+        log_event(
+            "attempt_lost",
+            request_id=self.request.request_id,
+            number=number,
+            fault=fault.value,
+            upstream_id=self._upstream_id,
+            after_ms=round(self.now_ms() - self._started_at_ms),
+        )
+
+    def _fail(self, action: Fail) -> None:
+        status = STATUS_OF_FAILURE[action.failure]
+        if self.answer.has_started:
+            self.answer.cut()
+        else:
+            headers = []
+            if action.failure is Failure.NOT_RUN:
+                headers = self.parts.wire.refusal_headers(action.retry_after_ms)
+            self.answer.send(status, headers)
+        self._report(action.failure.value, action.reason)
+
+    def _caller_left(self) -> None:
+        self.perform(self._machine.cancel())
+        self._report("caller_left", "")
+
+    def _arm(self) -> None:
+        loop = asyncio.get_running_loop()
+        due_ms = self.now_ms() + self.tick_ms
+        self._timer = loop.call_later(self.tick_ms / 1000.0, self._tick, due_ms)
+
+    def _tick(self, due_ms: float) -> None:
+        if self._machine.is_over:
+            return
+        now_ms = self.now_ms()
+        if now_ms - due_ms > STALL_MS:
+            self.note_stall()
+        self.perform(self._machine.tick(now_ms))
+        if not self._machine.is_over:
+            self._arm()
+
+    def _report(self, outcome: str, reason: str) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        duration_ms = self.now_ms() - self._started_at_ms
+        self.parts.report(
+            RequestReport(
+                self.request.request_id,
+                outcome,
+                reason,
+                self._upstream_id,
+                len(self._attempts),
+                duration_ms,
+            )
+        )
+
+
+def _name(upstream: ListedUpstream | None) -> str:
+    return upstream.upstream_id if upstream else ""
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -0,0 +1,118 @@
+"""Run one router in front of a platform's upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from bronzeline_daemon.clock import BootClock
+from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
+from bronzeline_daemon.forwarding.front import Front
+from bronzeline_daemon.forwarding.service import ForwardingService
+from bronzeline_daemon.logs import log_event
+from bronzeline_kernel.forwarding import (
+    DirectoryStore,
+    ForwardingSettings,
+    ForwardingView,
+    LeaseTerms,
+    WireFormat,
+)
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["ForwardingRouter"]
+
+# What is kept back of the time in which a removed key may still be used, for
+# clocks that drift and loops that are late.
+LEASE_MARGIN_MS = 300.0
+# Readiness ends before the lease does, so that the balancer, which asks once
+# a second and wants two misses, has moved the callers by then.
+READY_SHARE = 0.72
+# The balancer asks once a second and takes a router out after two misses.
+BALANCER_DELAY_MS = 2_600.0
+# What still runs in the last part of the grace period is cut by the kill.
+STOP_SHARE = 0.94
+STOP_POLL_S = 0.05
+LISTEN_BACKLOG = 512
+
+
+class ForwardingRouter:
+    """Serve callers until told to stop."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        store: DirectoryStore,
+        wire: WireFormat,
+        clock: Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or BootClock()
+        self.random = Random(f"{settings.router_id}/{self.clock.now_ms()}")
+        max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
+        self.view = ForwardingView(LeaseTerms(max_age_ms, READY_SHARE * max_age_ms))
+        self.service = ForwardingService(
+            settings, self.view, wire, self.clock, self.random
+        )
+        self.front = Front(wire, self.service.limits, self.service.handle)
+        self.watch = DirectoryWatch(
+            store, self.view, self.clock, self.random, self.front.apply_limits
+        )
+        self._store = store
+        self._readiness = HTTPServer(self._answer_readiness)
+        self._stopping_since_ms: float | None = None
+        self.stopped = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether the balancer should send callers here."""
+        is_stopping = self._stopping_since_ms is not None
+        return not is_stopping and self.view.is_ready(self.clock.now_ms())
+
+    def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        self.watch.start()
+        for server, address in (
+            (self._readiness, self.settings.readiness),
+            (self.front.server, self.settings.callers),
+        ):
+            sockets = bind_sockets(address.port, address.host, backlog=LISTEN_BACKLOG)
+            server.add_sockets(sockets)
+        log_event("started", router=self.settings.router_id)
+
+    def begin_stop(self) -> None:
+        """Take no new connections once the balancer knows, and finish."""
+        if self._stopping_since_ms is not None:
+            return
+        self._stopping_since_ms = self.clock.now_ms()
+        self.front.close_after_answers()
+        log_event("stopping", n_running=self.service.n_running)
+        self._stop_task = asyncio.create_task(self._finish())
+
+    async def _finish(self) -> None:
+        assert self._stopping_since_ms is not None
+        earliest_ms = self._stopping_since_ms + BALANCER_DELAY_MS
+        latest_ms = self._stopping_since_ms + STOP_SHARE * self.settings.stop_grace_ms
+        while self.clock.now_ms() < latest_ms:
+            is_idle = not self.service.n_running
+            if is_idle and self.clock.now_ms() >= earliest_ms:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        log_event("stopped", n_cut=self.service.n_running)
+        self.watch.stop()
+        self.front.server.stop()
+        self._store.close()
+        self.stopped.set()
+
+    def _answer_readiness(self, request: HTTPServerRequest) -> None:
+        status, reason = (200, "OK") if self.is_ready else (503, "Not Ready")
+        connection = request.connection
+        assert connection is not None
+        connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, reason),
+            HTTPHeaders({"Content-Length": "0"}),
+        )
+        connection.finish()
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -0,0 +1,151 @@
+"""Forward callers' requests to upstreams."""
+
+from __future__ import annotations
+
+from random import Random
+
+from bronzeline_daemon.forwarding.call_relay import CallRelay
+from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
+from bronzeline_daemon.forwarding.channels import Channels
+from bronzeline_daemon.forwarding.prober import Prober
+from bronzeline_daemon.forwarding.relay import RelayParts, RequestReport
+from bronzeline_daemon.forwarding.stream_relay import StreamRelay
+from bronzeline_daemon.logs import log_event
+from bronzeline_kernel.admission import RetryBudget
+from bronzeline_kernel.forwarding import (
+    Admitted,
+    CallerLimits,
+    CallerRequest,
+    CallRun,
+    ForwardingSettings,
+    ForwardingView,
+    Placement,
+    Refusal,
+    Refused,
+    StreamRun,
+    UpstreamHealth,
+    WireFormat,
+    WorkKind,
+    admit,
+)
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["ForwardingService"]
+
+STATUS_OF_REFUSAL = {
+    Refusal.NO_ROUTE: 404,
+    Refusal.UNKNOWN_KEY: 401,
+    Refusal.NOT_READY: 503,
+}
+# The reserve of repeats is shared by all routers; a site runs 7 to 9 today,
+# so a tenth each stays within it.
+RESERVE_SHARE = 0.1
+# What is kept back of the allowed ratio, since windows of requests and
+# repeats don't coincide.
+RATIO_SHARE = 0.75
+
+
+class ForwardingService:
+    """Admit requests and run them."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        view: ForwardingView,
+        wire: WireFormat,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._wire = wire
+        self._clock = clock
+        self._random = random
+        self.channels = Channels(clock)
+        self.placement = Placement(
+            settings.availability_zone, view.upstreams, UpstreamHealth(), random
+        )
+        self._budgets: dict[str, RetryBudget] = {}
+        self.n_running = 0
+        self._parts = RelayParts(
+            clock,
+            self.channels,
+            wire,
+            Prober(),
+            self._take_report,
+            view.upstreams.mark_leaving,
+        )
+
+    def limits(self) -> CallerLimits:
+        """Return what callers may send."""
+        table = self._view.table
+        return table.config.limits if table else CallerLimits()
+
+    def handle(self, request: CallerRequest, answer: CallerAnswer) -> None:
+        """Answer one request, now or later."""
+        now_ms = self._clock.now_ms()
+        admitted = admit(self._view, request, now_ms)
+        if isinstance(admitted, Refused):
+            self._refuse(request, admitted, answer)
+        else:
+            self._forward(request, admitted, answer, now_ms)
+
+    def _refuse(
+        self, request: CallerRequest, refused: Refused, answer: CallerAnswer
+    ) -> None:
+        headers = []
+        if refused.retry_after_ms:
+            headers = self._wire.refusal_headers(refused.retry_after_ms)
+        answer.send(STATUS_OF_REFUSAL[refused.refusal], headers)
+        log_event(
+            "request_refused",
+            request_id=request.request_id,
+            refusal=refused.refusal.value,
+            reason=refused.reason,
+            configuration_version=self._view.version,
+            lease_age_ms=round(self._view.lease.age_ms(self._clock.now_ms())),
+        )
+
+    def _forward(
+        self,
+        request: CallerRequest,
+        admitted: Admitted,
+        answer: CallerAnswer,
+        now_ms: float,
+    ) -> None:
+        route, workspace = admitted.route, admitted.workspace
+        table = self._view.table
+        assert table is not None
+        service = table.draw_service(route, self._random)
+        budget = self._budget(service)
+        allowed_ms = min(request.budget_ms or route.timeout_ms, route.timeout_ms)
+        deadline_ms = now_ms + allowed_ms
+        self.n_running += 1
+        if route.kind is WorkKind.STREAM:
+            stream = StreamRun(
+                request, route, service, self.placement, budget, deadline_ms
+            )
+            StreamRelay(self._parts, stream, request, workspace, answer).start()
+        else:
+            call = CallRun(route, service, self.placement, budget, deadline_ms)
+            CallRelay(self._parts, call, request, workspace, answer).start()
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
+                RATIO_SHARE * self._settings.retry_ratio,
+                RESERVE_SHARE * self._settings.n_retry_reserve,
+            )
+        return self._budgets[service]
+
+    def _take_report(self, report: RequestReport) -> None:
+        self.n_running -= 1
+        log_event(
+            "request_ended",
+            request_id=report.request_id,
+            outcome=report.outcome,
+            reason=report.reason,
+            upstream_id=report.upstream_id,
+            n_attempts=report.n_attempts,
+            duration_ms=round(report.duration_ms),
+        )
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -0,0 +1,95 @@
+"""Relay streams event by event, over the upstreams that are lost."""
+
+from __future__ import annotations
+
+from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
+from bronzeline_daemon.forwarding.event_splitter import EventSplitter
+from bronzeline_daemon.forwarding.relay import Relay, RelayParts
+from bronzeline_kernel.forwarding import (
+    AnswerHead,
+    CallerRequest,
+    Fault,
+    StreamRun,
+    WorkspaceKeys,
+)
+
+__all__ = ["StreamRelay"]
+
+
+class StreamRelay(Relay):
+    """Run one stream."""
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        run: StreamRun,
+        request: CallerRequest,
+        workspace: WorkspaceKeys | None,
+        answer: CallerAnswer,
+    ) -> None:
+        super().__init__(parts, run, request, workspace, answer)
+        self._run = run
+        self._splitters: dict[int, EventSplitter] = {}
+        self._plain: dict[int, list[bytes]] = {}
+
+    def take_head(self, number: int, head: AnswerHead) -> None:
+        """Begin the caller's answer with the first head that is a success."""
+        if not head.is_success:
+            self._plain[number] = []
+            return
+        self._splitters[number] = EventSplitter()
+        self.answer.start(head.status, head.headers)
+
+    def take_data(self, number: int, chunk: bytes) -> None:
+        """Pass on the events that are next."""
+        splitter = self._splitters.get(number)
+        if splitter is None:
+            self._plain.setdefault(number, []).append(chunk)
+            return
+        for event in splitter.feed(chunk):
+            event_id = self.parts.wire.event_id(event)
+            if event_id is None:
+                continue
+            if self._run.is_gap(number, event_id):
+                self._lose(number, Fault.GARBLED)
+                return
+            if self._run.takes_event(number, event_id, self.now_ms()):
+                self.answer.write(event)
+
+    def take_end(self, number: int) -> None:
+        """Take in the end of an attempt's answer."""
+        if number in self._plain:
+            self._end_plain(number)
+        elif self._splitters[number].has_rest:
+            self._lose(number, Fault.BROKEN)
+        else:
+            self.perform(self._run.ended(number))
+
+    def take_probe(self, upstream: tuple[str, int], is_alive: bool) -> None:
+        """Take in whether an upstream accepts connections."""
+        self.perform(self._run.probed(upstream, is_alive, self.now_ms()))
+
+    def finish(self, number: int) -> None:
+        """End the caller's answer."""
+        if number not in self._plain:
+            self.answer.finish()
+            return
+        head = self.head_of(number)
+        assert head is not None
+        self.answer.send(head.status, head.headers, b"".join(self._plain[number]))
+
+    def note_stall(self) -> None:
+        """Count no silence for the time in which this process stood still."""
+        self._run.stalled(self.now_ms())
+
+    def _lose(self, number: int, fault: Fault) -> None:
+        self._abandon(number)
+        self.note_lost(number, fault)
+        self.perform(self._run.lost(number, fault, self.now_ms()))
+
+    def _end_plain(self, number: int) -> None:
+        """Pass a failure on where nothing was delivered, or go on elsewhere."""
+        if self.answer.has_started:
+            self._lose(number, Fault.FAILED)
+        else:
+            self.perform(self._run.ended(number))
--- a/packages/kernel/bronzeline_kernel/exceptions.py
+++ b/packages/kernel/bronzeline_kernel/exceptions.py
@@ -10,6 +10,7 @@
     "ConfigConflictError",
     "ConfigUndecidedError",
     "ConflictError",
+    "HistoryLostError",
     "PluginError",
     "Problem",
     "RequestError",
@@ -81,6 +82,10 @@
     """Report a conditional write whose expected version did not match."""
 
 
+class HistoryLostError(StoreError):
+    """Report a watch whose starting revision the store no longer keeps."""
+
+
 class ConfigConflictError(BronzelineError):
     """Report a change that was not made because another came first."""
 
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -0,0 +1,97 @@
+"""Decide how requests are forwarded to upstreams and carried over losses."""
+
+from bronzeline_kernel.forwarding.admission import (
+    Admitted,
+    Refusal,
+    Refused,
+    admit,
+)
+from bronzeline_kernel.forwarding.call_run import CallOptions, CallRun
+from bronzeline_kernel.forwarding.config import (
+    CallerLimits,
+    EngineInfo,
+    ForwardingConfig,
+    Route,
+    ServiceInfo,
+    ServiceShare,
+    WorkKind,
+    WorkspaceKeys,
+)
+from bronzeline_kernel.forwarding.health import HealthOptions, UpstreamHealth
+from bronzeline_kernel.forwarding.lease import FreshnessLease, LeaseTerms
+from bronzeline_kernel.forwarding.messages import (
+    Abandon,
+    Action,
+    CallerRequest,
+    CopySource,
+    Fail,
+    Failure,
+    Fault,
+    Finish,
+    Probe,
+    Send,
+)
+from bronzeline_kernel.forwarding.placement import Load, Placement, PlacementOptions
+from bronzeline_kernel.forwarding.protocols import (
+    AnswerHead,
+    ConfigReading,
+    DirectoryStore,
+    UpstreamChange,
+    UpstreamChanges,
+    UpstreamListing,
+    WireFormat,
+)
+from bronzeline_kernel.forwarding.route_table import RouteTable
+from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
+from bronzeline_kernel.forwarding.stream_run import StreamOptions, StreamRun
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
+from bronzeline_kernel.forwarding.view import ForwardingView
+
+__all__ = [
+    "Abandon",
+    "Action",
+    "Admitted",
+    "AnswerHead",
+    "CallOptions",
+    "CallRun",
+    "CallerLimits",
+    "CallerRequest",
+    "ConfigReading",
+    "CopySource",
+    "DirectoryStore",
+    "EngineInfo",
+    "Fail",
+    "Failure",
+    "Fault",
+    "Finish",
+    "ForwardingConfig",
+    "ForwardingSettings",
+    "ForwardingView",
+    "FreshnessLease",
+    "HealthOptions",
+    "LeaseTerms",
+    "ListedUpstream",
+    "Load",
+    "Placement",
+    "PlacementOptions",
+    "Probe",
+    "Refusal",
+    "Refused",
+    "Route",
+    "RouteTable",
+    "Send",
+    "ServiceInfo",
+    "ServiceShare",
+    "SocketAddress",
+    "StreamOptions",
+    "StreamRun",
+    "UpstreamChange",
+    "UpstreamChanges",
+    "UpstreamHealth",
+    "UpstreamListing",
+    "UpstreamSet",
+    "WireFormat",
+    "WorkKind",
+    "WorkspaceKeys",
+    "admit",
+]
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/admission.py
@@ -0,0 +1,72 @@
+"""Decide whether a request may be forwarded at all."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bronzeline_kernel.forwarding.config import Route, WorkspaceKeys
+from bronzeline_kernel.forwarding.messages import CallerRequest
+from bronzeline_kernel.forwarding.view import ForwardingView
+
+__all__ = ["Admitted", "Refusal", "Refused", "admit"]
+
+# A router that lacks configuration or a fresh lease gets it within a second
+# or never; another router may have it.
+RETRY_AFTER_MS = 500.0
+
+
+class Refusal(Enum):
+    """Say why a request is not forwarded."""
+
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    NOT_READY = "not_ready"
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """Hold the route of a request and the workspace it counts to."""
+
+    route: Route
+    workspace: WorkspaceKeys | None
+
+
+@dataclass(frozen=True)
+class Refused:
+    """Hold why a request is refused, and when it may come back."""
+
+    refusal: Refusal
+    reason: str
+    retry_after_ms: float = 0.0
+
+
+def admit(
+    view: ForwardingView, request: CallerRequest, arrived_at_ms: float
+) -> Admitted | Refused:
+    """Check a request's route and key against configuration and lease.
+
+    Without a valid lease nothing is denied: the configuration may have
+    changed, and another router may know.
+    """
+    table = view.table
+    if table is None or not view.upstreams.is_loaded:
+        return _not_ready("no configuration yet")
+    is_current = view.lease.is_valid(arrived_at_ms)
+    route = table.find(request.host, request.path)
+    if route is None:
+        if is_current:
+            return Refused(Refusal.NO_ROUTE, "no route for host and path")
+        return _not_ready("configuration not proven current")
+    if route.is_public or not table.needs_keys:
+        return Admitted(route, None)
+    if not is_current:
+        return _not_ready("keys not proven current")
+    workspace = table.workspace_of(request.key or "")
+    if workspace is None:
+        return Refused(Refusal.UNKNOWN_KEY, "unknown key")
+    return Admitted(route, workspace)
+
+
+def _not_ready(reason: str) -> Refused:
+    return Refused(Refusal.NOT_READY, reason, RETRY_AFTER_MS)
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -0,0 +1,184 @@
+"""Carry one short call to an answer, at most once where it must not repeat."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bronzeline_kernel.admission import RetryBudget
+from bronzeline_kernel.forwarding.config import Route
+from bronzeline_kernel.forwarding.messages import (
+    Abandon,
+    Action,
+    Fail,
+    Failure,
+    Fault,
+    Finish,
+    Send,
+)
+from bronzeline_kernel.forwarding.placement import Placement
+from bronzeline_kernel.forwarding.stream_run import note_fault
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
+
+__all__ = ["CallOptions", "CallRun"]
+
+Incarnation = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class CallOptions:
+    """Set when a call is repeated, and what a refusal says."""
+
+    # Of the objective, what is left after this share is enough for a second
+    # upstream in another region to answer.
+    hedge_share: float = 0.5
+    # A full upstream frees a slot within one call of 45 ms; a few of them.
+    retry_after_ms: float = 150.0
+    # Upstreams that can't be reached cost a connection attempt each.
+    max_unreachable: int = 4
+
+
+@dataclass
+class CallRun:
+    """Decide where a call runs and what its caller is told."""
+
+    route: Route
+    service: str
+    placement: Placement
+    budget: RetryBudget
+    deadline_ms: float
+    options: CallOptions = field(default_factory=CallOptions)
+    is_over: bool = False
+    started_at_ms: float = 0.0
+    n_sent: int = 0
+    n_reached: int = 0
+    n_unreachable: int = 0
+    has_run: bool = False
+    _open: dict[int, ListedUpstream] = field(default_factory=dict)
+    _tried: set[Incarnation] = field(default_factory=set)
+
+    def start(self, now_ms: float) -> list[Action]:
+        """Send the call to its first upstream."""
+        self.started_at_ms = now_ms
+        self.budget.earn()
+        return self._send(now_ms)
+
+    def answered(self, number: int, now_ms: float) -> list[Action]:
+        """Take in a whole answer of an upstream: it is the caller's."""
+        if self.is_over or number not in self._open:
+            return []
+        upstream = self._open[number]
+        self.placement.health.succeeded(upstream.incarnation, now_ms)
+        self._release(number)
+        others = self._abandon_all()
+        self.is_over = True
+        return [Finish(number), *others]
+
+    def lost(self, number: int, fault: Fault, now_ms: float) -> list[Action]:
+        """Take in that an attempt failed."""
+        if self.is_over or number not in self._open:
+            return []
+        upstream = self._open[number]
+        self._release(number)
+        self._tried.add(upstream.incarnation)
+        note_fault(self.placement, upstream, fault, now_ms)
+        if fault is Fault.UNREACHABLE:
+            self.n_reached -= 1
+            self.n_unreachable += 1
+        if not fault.is_not_run:
+            self.has_run = True
+        if self._open:
+            return []
+        if self._may_repeat(fault, now_ms):
+            return self._send(now_ms)
+        return self._fail_lost(fault)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Look at the time: hedge a call that may repeat, or end it."""
+        if self.is_over:
+            return []
+        if now_ms >= self.deadline_ms:
+            return self._fail(Failure.TIMED_OUT, "deadline")
+        if now_ms - self.started_at_ms < self._hedge_after_ms():
+            return []
+        if len(self._open) != 1 or not self._may_hedge(now_ms):
+            return []
+        return self._send(now_ms)
+
+    def cancel(self) -> list[Action]:
+        """Stop, since the caller left; what may not repeat runs to its end."""
+        self.is_over = True
+        if self.route.is_repeatable:
+            return self._abandon_all()
+        for number in list(self._open):
+            self._release(number)
+        return []
+
+    def _hedge_after_ms(self) -> float:
+        return self.route.target_latency_ms * self.options.hedge_share
+
+    def _may_hedge(self, now_ms: float) -> bool:
+        if not self.route.is_repeatable or self.n_reached >= self.route.max_attempts:
+            return False
+        tried = {item.incarnation for item in self._open.values()} | self._tried
+        other = self.placement.for_call(self.service, now_ms, tried)
+        return other is not None and self.budget.spend()
+
+    def _may_repeat(self, fault: Fault, now_ms: float) -> bool:
+        if now_ms >= self.deadline_ms:
+            return False
+        if fault is Fault.UNREACHABLE:
+            return self.n_unreachable <= self.options.max_unreachable
+        if self.n_reached >= self.route.max_attempts:
+            return False
+        if not fault.is_not_run and not self.route.is_repeatable:
+            return False
+        return self.budget.spend()
+
+    def _send(self, now_ms: float) -> list[Action]:
+        busy = {item.incarnation for item in self._open.values()}
+        exclude = self._tried | busy
+        upstream = self.placement.for_call(self.service, now_ms, exclude)
+        if upstream is None and self._tried and not self._open:
+            upstream = self.placement.for_call(self.service, now_ms)
+        if upstream is None:
+            return self._fail_unserved("no upstream") if not self._open else []
+        self.n_sent += 1
+        self.n_reached += 1
+        self._open[self.n_sent] = upstream
+        self.placement.load(upstream.upstream_id).n_calls += 1
+        budget_ms = max(0.0, self.deadline_ms - now_ms)
+        return [Send(self.n_sent, upstream, budget_ms)]
+
+    def _fail_lost(self, fault: Fault) -> list[Action]:
+        if fault.is_not_run:
+            return self._fail_unserved(fault.value)
+        return self._fail(Failure.UNKNOWN_OUTCOME, fault.value)
+
+    def _fail_unserved(self, reason: str) -> list[Action]:
+        if self.has_run:
+            return self._fail(Failure.UNKNOWN_OUTCOME, reason)
+        retry_after_ms = self.options.retry_after_ms
+        return self._fail(Failure.NOT_RUN, reason, retry_after_ms)
+
+    def _fail(
+        self, failure: Failure, reason: str, retry_after_ms: float = 0.0
+    ) -> list[Action]:
+        self.is_over = True
+        if self.route.is_repeatable:
+            others = self._abandon_all()
+        else:
+            others = []
+            for number in list(self._open):
+                self._release(number)
+        return [*others, Fail(failure, reason, retry_after_ms)]
+
+    def _abandon_all(self) -> list[Action]:
+        numbers = list(self._open)
+        for number in numbers:
+            self._release(number)
+        return [Abandon(number) for number in numbers]
+
+    def _release(self, number: int) -> None:
+        upstream = self._open.pop(number, None)
+        if upstream is not None:
+            self.placement.load(upstream.upstream_id).n_calls -= 1
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -0,0 +1,103 @@
+"""Judge upstreams by what this router saw of them."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+__all__ = ["HealthOptions", "UpstreamHealth"]
+
+Incarnation = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class HealthOptions:
+    """Say how long upstreams are avoided after what they did."""
+
+    # A failed upstream is tried again soon: an engine that crashed is back
+    # after a second or two, and a connection tells at once.
+    first_avoid_ms: float = 400.0
+    max_avoid_ms: float = 3_000.0
+    # A full upstream frees a slot within one short call or one event.
+    full_avoid_ms: float = 300.0
+    # An upstream that another process has taken over waits for its new entry.
+    replaced_avoid_ms: float = 60_000.0
+    # The memory of failures fades by half in this time.
+    half_life_ms: float = 3_000.0
+
+
+@dataclass
+class Record:
+    """Hold what is known of one start of an upstream."""
+
+    avoid_until_ms: float = 0.0
+    n_failures_in_row: int = 0
+    failure_score: float = 0.0
+    scored_at_ms: float = 0.0
+    last_answer_at_ms: float = field(default=float("-inf"))
+
+
+class UpstreamHealth:
+    """Hold evidence on upstreams, by id and start."""
+
+    def __init__(self, options: HealthOptions | None = None) -> None:
+        self._options = options or HealthOptions()
+        self._records: dict[Incarnation, Record] = {}
+
+    def succeeded(self, upstream: Incarnation, now_ms: float) -> None:
+        """Take in an answer, or an event, that the upstream gave."""
+        record = self._record(upstream)
+        record.n_failures_in_row = 0
+        record.avoid_until_ms = 0.0
+        record.last_answer_at_ms = now_ms
+
+    def failed(self, upstream: Incarnation, now_ms: float) -> float:
+        """Take in a failure; return for how long the upstream is avoided."""
+        record = self._record(upstream)
+        avoid_ms = min(
+            self._options.max_avoid_ms,
+            self._options.first_avoid_ms * 2.0**record.n_failures_in_row,
+        )
+        record.n_failures_in_row += 1
+        record.avoid_until_ms = max(record.avoid_until_ms, now_ms + avoid_ms)
+        record.failure_score = self.failure_score(upstream, now_ms) + 1.0
+        record.scored_at_ms = now_ms
+        return avoid_ms
+
+    def was_full(self, upstream: Incarnation, now_ms: float) -> None:
+        """Take in that the upstream rejected work for want of room."""
+        record = self._record(upstream)
+        until_ms = now_ms + self._options.full_avoid_ms
+        record.avoid_until_ms = max(record.avoid_until_ms, until_ms)
+
+    def was_replaced(self, upstream: Incarnation, now_ms: float) -> None:
+        """Take in that another process answers at the upstream's address."""
+        record = self._record(upstream)
+        record.avoid_until_ms = now_ms + self._options.replaced_avoid_ms
+
+    def is_avoided(self, upstream: Incarnation, now_ms: float) -> bool:
+        """Say whether the upstream should get no work now."""
+        record = self._records.get(upstream)
+        return record is not None and now_ms < record.avoid_until_ms
+
+    def failure_score(self, upstream: Incarnation, now_ms: float) -> float:
+        """Return the number of failures, older ones counting less."""
+        record = self._records.get(upstream)
+        if record is None or not record.failure_score:
+            return 0.0
+        age_ms = max(0.0, now_ms - record.scored_at_ms)
+        halvings = age_ms / self._options.half_life_ms
+        return record.failure_score * math.exp2(-halvings)
+
+    def last_answer_at_ms(self, upstream: Incarnation) -> float:
+        """Return when the upstream last gave a sign of life."""
+        record = self._records.get(upstream)
+        return float("-inf") if record is None else record.last_answer_at_ms
+
+    def keep_only(self, upstreams: set[Incarnation]) -> None:
+        """Forget upstreams that are no longer listed."""
+        for upstream in self._records.keys() - upstreams:
+            del self._records[upstream]
+
+    def _record(self, upstream: Incarnation) -> Record:
+        return self._records.setdefault(upstream, Record())
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -0,0 +1,163 @@
+"""Choose the upstream for a request, and the one that keeps its copy."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from random import Random
+
+from bronzeline_kernel.forwarding.health import UpstreamHealth
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
+
+__all__ = ["Load", "Placement", "PlacementOptions"]
+
+Incarnation = tuple[str, int]
+_Cost = Callable[[ListedUpstream, float], float]
+
+
+@dataclass(frozen=True)
+class PlacementOptions:
+    """Weigh what a place costs, in milliseconds of expected delay."""
+
+    # A prompt of 5,000 tokens is read in 1,000 ms, one after the other.
+    prompt_ms: float = 1_000.0
+    # Each running stream lengthens every step of the batch.
+    stream_ms: float = 60.0
+    # A copy takes memory that running streams will want.
+    copy_ms: float = 20.0
+    # A stream through another zone costs money but no time that matters:
+    # the own zone is left when a second prompt would have to wait there.
+    far_stream_ms: float = 1_200.0
+    call_ms: float = 15.0
+    # A short call to another region takes about 25 ms longer and is billed.
+    far_call_ms: float = 60.0
+    failure_ms: float = 400.0
+
+
+@dataclass
+class Load:
+    """Count this router's own work on one upstream."""
+
+    n_prompts: int = 0
+    n_streams: int = 0
+    n_copies: int = 0
+    n_calls: int = 0
+
+
+@dataclass
+class Placement:
+    """Weigh the usable upstreams by own load, zone and evidence."""
+
+    own_zone: str
+    upstreams: UpstreamSet
+    health: UpstreamHealth
+    random: Random
+    options: PlacementOptions = field(default_factory=PlacementOptions)
+    _loads: dict[str, Load] = field(default_factory=dict)
+
+    def load(self, upstream_id: str) -> Load:
+        """Return the own load on an upstream, to be changed in place."""
+        return self._loads.setdefault(upstream_id, Load())
+
+    def for_stream(
+        self, service: str, now_ms: float, exclude: Collection[Incarnation] = ()
+    ) -> ListedUpstream | None:
+        """Choose where a stream's prompt is read."""
+        return self._cheapest(service, now_ms, exclude, self._stream_cost)
+
+    def for_call(
+        self, service: str, now_ms: float, exclude: Collection[Incarnation] = ()
+    ) -> ListedUpstream | None:
+        """Choose where a short call runs."""
+        return self._cheapest(service, now_ms, exclude, self._call_cost)
+
+    def for_copy(self, primary: ListedUpstream, now_ms: float) -> ListedUpstream | None:
+        """Choose who keeps a copy of a stream's memory: in another zone."""
+        usable = self.upstreams.usable(primary.service, now_ms)
+        others = [
+            item
+            for item in usable
+            if item.address != primary.address
+            and not self.health.is_avoided(item.incarnation, now_ms)
+        ]
+        zones = [item.availability_zone for item in others]
+        if any(zone != primary.availability_zone for zone in zones):
+            others = [
+                item
+                for item in others
+                if item.availability_zone != primary.availability_zone
+            ]
+        return self._pick(others, lambda item: self._copy_cost(item, now_ms))
+
+    def has_any(self, service: str, now_ms: float) -> bool:
+        """Say whether a service has an upstream at all."""
+        return bool(self.upstreams.usable(service, now_ms))
+
+    def _cheapest(
+        self,
+        service: str,
+        now_ms: float,
+        exclude: Collection[Incarnation],
+        cost: _Cost,
+    ) -> ListedUpstream | None:
+        usable = [
+            item
+            for item in self.upstreams.usable(service, now_ms)
+            if item.incarnation not in exclude
+        ]
+        sound = [
+            item
+            for item in usable
+            if not self.health.is_avoided(item.incarnation, now_ms)
+        ]
+        return self._pick(sound or usable, lambda item: cost(item, now_ms))
+
+    def _pick(
+        self, items: list[ListedUpstream], cost: Callable[[ListedUpstream], float]
+    ) -> ListedUpstream | None:
+        if not items:
+            return None
+        costs = [cost(item) for item in items]
+        lowest = min(costs)
+        best = [
+            item
+            for item, its_cost in zip(items, costs, strict=True)
+            if its_cost <= lowest
+        ]
+        return self.random.choice(best)
+
+    def _stream_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
+        load = self.load(upstream.upstream_id)
+        options = self.options
+        return (
+            load.n_prompts * options.prompt_ms
+            + load.n_streams * options.stream_ms
+            + load.n_copies * options.copy_ms
+            + self._far(upstream, options.far_stream_ms)
+            + self._failures(upstream, now_ms)
+        )
+
+    def _copy_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
+        load = self.load(upstream.upstream_id)
+        options = self.options
+        return (
+            load.n_prompts * options.stream_ms
+            + load.n_streams * options.stream_ms
+            + load.n_copies * options.stream_ms
+            + self._failures(upstream, now_ms)
+        )
+
+    def _call_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
+        load = self.load(upstream.upstream_id)
+        return (
+            load.n_calls * self.options.call_ms
+            + self._far(upstream, self.options.far_call_ms)
+            + self._failures(upstream, now_ms)
+        )
+
+    def _far(self, upstream: ListedUpstream, cost_ms: float) -> float:
+        return 0.0 if upstream.availability_zone == self.own_zone else cost_ms
+
+    def _failures(self, upstream: ListedUpstream, now_ms: float) -> float:
+        score = self.health.failure_score(upstream.incarnation, now_ms)
+        return score * self.options.failure_ms
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/route_table.py
@@ -0,0 +1,69 @@
+"""Find the route and the workspace of a request."""
+
+from __future__ import annotations
+
+from random import Random
+
+from bronzeline_kernel.forwarding.config import (
+    ForwardingConfig,
+    Route,
+    ServiceInfo,
+    WorkspaceKeys,
+)
+
+__all__ = ["RouteTable"]
+
+
+class RouteTable:
+    """Index one version of the configuration by host, path and key."""
+
+    def __init__(self, config: ForwardingConfig) -> None:
+        self.config = config
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in config.routes:
+            by_prefix = self._routes.setdefault(route.host.lower(), {})
+            by_prefix[route.path_prefix] = route
+        self._services = {item.name: item for item in config.services}
+        self._workspaces = {
+            key: workspace for workspace in config.workspaces for key in workspace.keys
+        }
+
+    @property
+    def needs_keys(self) -> bool:
+        """Say whether requests on routes that are not public need a key."""
+        return bool(self.config.workspaces)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        by_prefix = self._routes.get(_host_name(host))
+        if by_prefix is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def workspace_of(self, key: str) -> WorkspaceKeys | None:
+        """Return the workspace that holds a key."""
+        return self._workspaces.get(key)
+
+    def service(self, name: str) -> ServiceInfo | None:
+        """Return what is configured of a service."""
+        return self._services.get(name)
+
+    def draw_service(self, route: Route, random: Random) -> str:
+        """Draw one of a route's services by weight."""
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [max(0.0, item.weight) for item in shares]
+        if not sum(weights):
+            return shares[0].service
+        return random.choices(shares, weights)[0].service
+
+
+def _host_name(host: str) -> str:
+    return host.partition(":")[0].lower()
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -0,0 +1,314 @@
+"""Carry one stream over the upstreams that it loses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bronzeline_kernel.admission import RetryBudget
+from bronzeline_kernel.forwarding.config import Route
+from bronzeline_kernel.forwarding.messages import (
+    Abandon,
+    Action,
+    CallerRequest,
+    CopySource,
+    Fail,
+    Failure,
+    Fault,
+    Finish,
+    Probe,
+    Send,
+)
+from bronzeline_kernel.forwarding.placement import Placement
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
+
+__all__ = ["StreamOptions", "StreamRun"]
+
+Incarnation = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class StreamOptions:
+    """Set when a silent upstream is asked, and when it is left."""
+
+    # Events come every 30 to 60 ms; chunks of other prompts hold them back
+    # by 25 ms each. A connection attempt costs next to nothing.
+    probe_after_ms: float = 220.0
+    probe_again_ms: float = 250.0
+    # A copy goes on within 140 ms, and a gap may last 700 ms.
+    leave_after_ms: float = 520.0
+    # Without a copy the prompt is read anew, which breaks the gap anyway.
+    leave_without_copy_ms: float = 2_500.0
+    # A copy that gives nothing by then is not going to.
+    copy_start_ms: float = 400.0
+    # A prompt is read at 5 tokens a millisecond, behind at most two others.
+    prompt_tokens_per_ms: float = 5.0
+    first_event_factor: float = 3.0
+    first_event_extra_ms: float = 1_500.0
+    # The copy grows several times a second from the first prompt tokens on.
+    copy_exists_after_ms: float = 250.0
+    # All upstreams turned the request away: they free slots within this.
+    retry_after_ms: float = 500.0
+    # One request may not knock at every door of a large fleet.
+    max_rejections: int = 4
+
+
+@dataclass
+class Attempt:
+    """Hold the state of the attempt that may append to the answer."""
+
+    number: int
+    upstream: ListedUpstream
+    sent_at_ms: float
+    progress_at_ms: float
+    asked_at_ms: float
+    is_from_copy: bool = False
+    copy_to: ListedUpstream | None = None
+    has_events: bool = False
+
+
+@dataclass
+class StreamRun:
+    """Decide where a stream runs, and goes on when its upstream is lost."""
+
+    request: CallerRequest
+    route: Route
+    service: str
+    placement: Placement
+    budget: RetryBudget
+    deadline_ms: float
+    options: StreamOptions = field(default_factory=StreamOptions)
+    last_event: int = 0
+    attempt: Attempt | None = None
+    is_over: bool = False
+    n_sent: int = 0
+    n_rejected: int = 0
+    n_lost: int = 0
+    _tried: set[Incarnation] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.last_event = self.request.after_event
+
+    @property
+    def has_delivered(self) -> bool:
+        """Say whether the caller got an event of this answer."""
+        return self.last_event > self.request.after_event
+
+    def start(self, now_ms: float) -> list[Action]:
+        """Send the prompt to the first upstream."""
+        self.budget.earn()
+        return self._send_prompt(now_ms)
+
+    def takes_event(self, number: int, event_id: int, now_ms: float) -> bool:
+        """Say whether an event is the next of the answer, and count it."""
+        attempt = self.attempt
+        if attempt is None or attempt.number != number or self.is_over:
+            return False
+        attempt.progress_at_ms = now_ms
+        if not attempt.has_events:
+            attempt.has_events = True
+            self.placement.load(attempt.upstream.upstream_id).n_prompts -= 1
+        self.placement.health.succeeded(attempt.upstream.incarnation, now_ms)
+        if event_id != self.last_event + 1:
+            return False
+        self.last_event = event_id
+        return True
+
+    def is_gap(self, number: int, event_id: int) -> bool:
+        """Say whether an event shows that one before it is missing."""
+        is_current = self.attempt is not None and self.attempt.number == number
+        return is_current and event_id > self.last_event + 1
+
+    def ended(self, number: int) -> list[Action]:
+        """Take in that an attempt's answer is complete."""
+        if not self._is_current(number):
+            return []
+        self._release()
+        self.is_over = True
+        return [Finish(number)]
+
+    def lost(self, number: int, fault: Fault, now_ms: float) -> list[Action]:
+        """Take in that an attempt failed, and go on elsewhere."""
+        if not self._is_current(number):
+            return []
+        attempt = self.attempt
+        assert attempt is not None
+        self._release()
+        self._note(attempt, fault, now_ms)
+        if fault.is_not_run:
+            return self._after_rejection(attempt, fault, now_ms)
+        self.n_lost += 1
+        return self._go_on(attempt, now_ms)
+
+    def probed(
+        self, upstream: Incarnation, is_alive: bool, now_ms: float
+    ) -> list[Action]:
+        """Take in whether an upstream that was asked accepts connections."""
+        attempt = self.attempt
+        if is_alive or attempt is None or attempt.upstream.incarnation != upstream:
+            return []
+        if now_ms - attempt.progress_at_ms < self.options.probe_after_ms:
+            return []
+        return self._leave(attempt, now_ms)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Look at the time."""
+        attempt = self.attempt
+        if self.is_over or attempt is None:
+            return []
+        if now_ms >= self.deadline_ms:
+            return self._fail(Failure.TIMED_OUT, "deadline")
+        silent_ms = now_ms - attempt.progress_at_ms
+        if silent_ms >= self._leave_after_ms(attempt, now_ms):
+            return self._leave(attempt, now_ms)
+        if silent_ms < self.options.probe_after_ms:
+            return []
+        if now_ms - attempt.asked_at_ms < self.options.probe_again_ms:
+            return []
+        attempt.asked_at_ms = now_ms
+        return [Probe(attempt.upstream)]
+
+    def stalled(self, now_ms: float) -> None:
+        """Count no silence for the time in which this process stood still."""
+        if self.attempt is not None:
+            self.attempt.progress_at_ms = now_ms
+
+    def cancel(self) -> list[Action]:
+        """Stop, since the caller left."""
+        number = self.attempt.number if self.attempt else 0
+        self._release()
+        self.is_over = True
+        return [Abandon(number)] if number else []
+
+    def _is_current(self, number: int) -> bool:
+        if self.is_over or self.attempt is None:
+            return False
+        return self.attempt.number == number
+
+    def _leave_after_ms(self, attempt: Attempt, now_ms: float) -> float:
+        options = self.options
+        if attempt.has_events:
+            if self._copy_of(attempt, now_ms) is not None:
+                return options.leave_after_ms
+            return options.leave_without_copy_ms
+        if attempt.is_from_copy:
+            return options.copy_start_ms
+        prompt_ms = self.request.n_prompt_tokens / options.prompt_tokens_per_ms
+        return options.first_event_extra_ms + options.first_event_factor * prompt_ms
+
+    def _leave(self, attempt: Attempt, now_ms: float) -> list[Action]:
+        self._release()
+        self._note(attempt, Fault.SILENT, now_ms)
+        self.n_lost += 1
+        return [Abandon(attempt.number), *self._go_on(attempt, now_ms)]
+
+    def _go_on(self, attempt: Attempt, now_ms: float) -> list[Action]:
+        if not self.route.is_resumable:
+            return self._fail(Failure.UNKNOWN_OUTCOME, "upstream lost")
+        if now_ms >= self.deadline_ms:
+            return self._fail(Failure.TIMED_OUT, "deadline")
+        if self.n_sent >= self.route.max_attempts + self.n_lost:
+            return self._fail(Failure.UNKNOWN_OUTCOME, "attempts used up")
+        if not self.budget.spend():
+            return self._fail(Failure.UNKNOWN_OUTCOME, "retry budget spent")
+        keeper = self._copy_of(attempt, now_ms)
+        if keeper is not None:
+            copy = CopySource(keeper, self.request.request_id)
+            return [self._send(keeper, now_ms, copy)]
+        return self._send_prompt(now_ms)
+
+    def _after_rejection(
+        self, attempt: Attempt, fault: Fault, now_ms: float
+    ) -> list[Action]:
+        if now_ms >= self.deadline_ms:
+            return self._fail(Failure.TIMED_OUT, "deadline")
+        if not attempt.is_from_copy:
+            self.n_rejected += 1
+        if self.n_rejected > self.options.max_rejections:
+            return self._fail_unserved("every upstream turned it away")
+        if fault is not Fault.UNREACHABLE and not self.budget.spend():
+            return self._fail_unserved("retry budget spent")
+        return self._send_prompt(now_ms)
+
+    def _send_prompt(self, now_ms: float) -> list[Action]:
+        upstream = self.placement.for_stream(self.service, now_ms, self._tried)
+        if upstream is None and self._tried:
+            self._tried.clear()
+            upstream = self.placement.for_stream(self.service, now_ms)
+        if upstream is None:
+            return self._fail_unserved("no upstream")
+        return [self._send(upstream, now_ms, None)]
+
+    def _send(
+        self, upstream: ListedUpstream, now_ms: float, copy: CopySource | None
+    ) -> Send:
+        copy_to = self.placement.for_copy(upstream, now_ms) if self._keeps() else None
+        self.n_sent += 1
+        self.attempt = Attempt(
+            self.n_sent, upstream, now_ms, now_ms, now_ms, copy is not None, copy_to
+        )
+        load = self.placement.load(upstream.upstream_id)
+        load.n_prompts += 1
+        load.n_streams += 1
+        if copy_to is not None:
+            self.placement.load(copy_to.upstream_id).n_copies += 1
+        budget_ms = max(0.0, self.deadline_ms - now_ms)
+        return Send(self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to)
+
+    def _keeps(self) -> bool:
+        return self.route.is_resumable
+
+    def _copy_of(self, attempt: Attempt, now_ms: float) -> ListedUpstream | None:
+        keeper = attempt.copy_to
+        if keeper is None:
+            return None
+        if now_ms - attempt.sent_at_ms < self.options.copy_exists_after_ms:
+            return None
+        is_listed = self.placement.upstreams.get(keeper.upstream_id) == keeper
+        if not is_listed:
+            return None
+        is_avoided = self.placement.health.is_avoided(keeper.incarnation, now_ms)
+        return None if is_avoided else keeper
+
+    def _note(self, attempt: Attempt, fault: Fault, now_ms: float) -> None:
+        self._tried.add(attempt.upstream.incarnation)
+        if attempt.is_from_copy and fault is Fault.FULL:
+            return
+        note_fault(self.placement, attempt.upstream, fault, now_ms)
+
+    def _release(self) -> None:
+        attempt = self.attempt
+        if attempt is None:
+            return
+        self.attempt = None
+        load = self.placement.load(attempt.upstream.upstream_id)
+        load.n_streams -= 1
+        if not attempt.has_events:
+            load.n_prompts -= 1
+        if attempt.copy_to is not None:
+            self.placement.load(attempt.copy_to.upstream_id).n_copies -= 1
+
+    def _fail_unserved(self, reason: str) -> list[Action]:
+        if self.n_lost or self.has_delivered:
+            return self._fail(Failure.UNKNOWN_OUTCOME, reason)
+        return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
+
+    def _fail(
+        self, failure: Failure, reason: str, retry_after_ms: float = 0.0
+    ) -> list[Action]:
+        number = self.attempt.number if self.attempt else 0
+        self._release()
+        self.is_over = True
+        abandon: list[Action] = [Abandon(number)] if number else []
+        return [*abandon, Fail(failure, reason, retry_after_ms)]
+
+
+def note_fault(
+    placement: Placement, upstream: ListedUpstream, fault: Fault, now_ms: float
+) -> None:
+    """Tell the health record what a failed attempt says of an upstream."""
+    if fault is Fault.FULL:
+        placement.health.was_full(upstream.incarnation, now_ms)
+    elif fault is Fault.REPLACED:
+        placement.health.was_replaced(upstream.incarnation, now_ms)
+    else:
+        placement.health.failed(upstream.incarnation, now_ms)
