Copy runs anew when their keeper is lost; suspect zones as a whole

After a silent loss the next attempts went to the same dark zone. Attempts to go on from a copy before the first event were always refused: there is none. Ruled out: abandoned prompts as the cost; prompts of runs that never gave an event are not priced.

--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/copies.py
@@ -0,0 +1,60 @@
+"""Have copies of runs made and freed in the background."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from bronzeline_daemon.logs import log_event
+from bronzeline_kernel.exceptions import UpstreamError
+from bronzeline_kernel.forwarding import CallerRequest, CopyRun, CopySource, RunCopier
+
+__all__ = ["Copies"]
+
+OnCopy = Callable[[int, CopySource | None], None]
+
+
+class Copies:
+    """Call the engines that hold runs and copies."""
+
+    def __init__(self, copier: RunCopier) -> None:
+        self._copier = copier
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def make(self, request: CallerRequest, action: CopyRun, on_copy: OnCopy) -> None:
+        """Copy a run and call back with the copy, or None."""
+        self._start(self._make(request, action, on_copy))
+
+    def drop(self, copy: CopySource) -> None:
+        """Free a copy."""
+        self._start(self._drop(copy))
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _make(
+        self, request: CallerRequest, action: CopyRun, on_copy: OnCopy
+    ) -> None:
+        copy = None
+        error = ""
+        try:
+            copy = await self._copier.copy_run(request, action.source, action.keeper)
+        except UpstreamError as failure:
+            error = str(failure)
+        log_event(
+            "copy_made" if copy else "copy_failed",
+            request_id=request.request_id,
+            source_id=action.source.upstream_id,
+            keeper_id=action.keeper.upstream_id,
+            error=error,
+        )
+        on_copy(action.number, copy)
+
+    async def _drop(self, copy: CopySource) -> None:
+        try:
+            await self._copier.drop_copy(copy)
+        except UpstreamError as failure:
+            # The engine frees it by itself some seconds later.
+            log_event("copy_not_dropped", copy_id=copy.copy_id, error=str(failure))
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -10,6 +10,7 @@
 from bronzeline_daemon.forwarding.attempt import Attempt, AttemptListener
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
+from bronzeline_daemon.forwarding.copies import Copies
 from bronzeline_daemon.forwarding.prober import Prober
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.forwarding import (
@@ -17,6 +18,9 @@
     Action,
     AnswerHead,
     CallerRequest,
+    CopyRun,
+    CopySource,
+    DropCopy,
     Fail,
     Failure,
     Fault,
@@ -78,8 +82,8 @@
     channels: Channels
     wire: WireFormat
     prober: Prober
+    copies: Copies
     report: Callable[[RequestReport], None]
-    on_leaving: Callable[[str], None]
 
 
 class Relay:
@@ -129,6 +133,10 @@
                     self._abandon(number)
                 case Probe(upstream):
                     self.parts.prober.ask(upstream, self.take_probe)
+                case CopyRun():
+                    self.parts.copies.make(self.request, action, self.take_copy)
+                case DropCopy(copy):
+                    self.parts.copies.drop(copy)
                 case Finish(number):
                     self.finish(number)
                     self._report("served", "")
@@ -150,6 +158,9 @@
     def take_probe(self, upstream: tuple[str, int], is_alive: bool) -> None:
         """Take in whether an upstream accepts connections."""
 
+    def take_copy(self, number: int, copy: CopySource | None) -> None:
+        """Take in that a copy of a run was made, or that it could not be."""
+
     def finish(self, number: int) -> None:
         """End the caller's answer with what an attempt brought."""
         raise NotImplementedError
@@ -180,7 +191,7 @@
             upstream_id=action.upstream.upstream_id,
             budget_ms=round(action.budget_ms),
             after_event=action.after_event,
-            copy_from=_name(action.copy_from.upstream if action.copy_from else None),
+            copy_from=_name(action.copy_from.keeper if action.copy_from else None),
             copy_to=_name(action.copy_to),
         )
         attempt.start()
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -19,6 +19,7 @@
     ForwardingSettings,
     ForwardingView,
     LeaseTerms,
+    RunCopier,
     WireFormat,
 )
 from bronzeline_kernel.protocols import Clock
@@ -47,6 +48,7 @@
         settings: ForwardingSettings,
         store: DirectoryStore,
         wire: WireFormat,
+        copier: RunCopier,
         clock: Clock | None = None,
     ) -> None:
         self.settings = settings
@@ -55,7 +57,7 @@
         max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
         self.view = ForwardingView(LeaseTerms(max_age_ms, READY_SHARE * max_age_ms))
         self.service = ForwardingService(
-            settings, self.view, wire, self.clock, self.random
+            settings, self.view, wire, copier, self.clock, self.random
         )
         self.front = Front(wire, self.service.limits, self.service.handle)
         self.watch = DirectoryWatch(
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -7,6 +7,7 @@
 from bronzeline_daemon.forwarding.call_relay import CallRelay
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
+from bronzeline_daemon.forwarding.copies import Copies
 from bronzeline_daemon.forwarding.prober import Prober
 from bronzeline_daemon.forwarding.relay import RelayParts, RequestReport
 from bronzeline_daemon.forwarding.stream_relay import StreamRelay
@@ -22,6 +23,7 @@
     Placement,
     Refusal,
     Refused,
+    RunCopier,
     StreamRun,
     UpstreamHealth,
     WireFormat,
@@ -53,6 +55,7 @@
         settings: ForwardingSettings,
         view: ForwardingView,
         wire: WireFormat,
+        copier: RunCopier,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -72,8 +75,8 @@
             self.channels,
             wire,
             Prober(),
+            Copies(copier),
             self._take_report,
-            view.upstreams.mark_leaving,
         )
 
     def limits(self) -> CallerLimits:
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -8,6 +8,7 @@
 from bronzeline_kernel.forwarding import (
     AnswerHead,
     CallerRequest,
+    CopySource,
     Fault,
     StreamRun,
     WorkspaceKeys,
@@ -69,6 +70,10 @@
         """Take in whether an upstream accepts connections."""
         self.perform(self._run.probed(upstream, is_alive, self.now_ms()))
 
+    def take_copy(self, number: int, copy: CopySource | None) -> None:
+        """Take in that a copy of a run was made, or that it could not be."""
+        self.perform(self._run.copied(number, copy, self.now_ms()))
+
     def finish(self, number: int) -> None:
         """End the caller's answer."""
         if number not in self._plain:
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -8,6 +8,8 @@
 __all__ = ["HealthOptions", "UpstreamHealth"]
 
 Incarnation = tuple[str, int]
+# A service and an availability zone.
+Zone = tuple[str, str]
 
 
 @dataclass(frozen=True)
@@ -22,6 +24,9 @@
     full_avoid_ms: float = 300.0
     # An upstream that another process has taken over waits for its new entry.
     replaced_avoid_ms: float = 60_000.0
+    # Zones fail as a whole: what one upstream shows is held against the
+    # others of its service and zone until they answer.
+    zone_suspect_ms: float = 1_500.0
     # The memory of failures fades by half in this time.
     half_life_ms: float = 3_000.0
 
@@ -43,6 +48,7 @@
     def __init__(self, options: HealthOptions | None = None) -> None:
         self._options = options or HealthOptions()
         self._records: dict[Incarnation, Record] = {}
+        self._zone_failed_at_ms: dict[Zone, float] = {}
 
     def succeeded(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in an answer, or an event, that the upstream gave."""
@@ -64,6 +70,19 @@
         record.scored_at_ms = now_ms
         return avoid_ms
 
+    def zone_failed(self, zone: Zone, now_ms: float) -> None:
+        """Take in that an upstream of a zone was lost without a word."""
+        self._zone_failed_at_ms[zone] = now_ms
+
+    def is_zone_suspect(self, zone: Zone, upstream: Incarnation, now_ms: float) -> bool:
+        """Say whether an upstream may have been lost with its zone."""
+        failed_at_ms = self._zone_failed_at_ms.get(zone)
+        if failed_at_ms is None:
+            return False
+        if now_ms - failed_at_ms >= self._options.zone_suspect_ms:
+            return False
+        return self.last_answer_at_ms(upstream) <= failed_at_ms
+
     def was_full(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in that the upstream rejected work for want of room."""
         record = self._record(upstream)
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -11,7 +11,9 @@
     "Abandon",
     "Action",
     "CallerRequest",
+    "CopyRun",
     "CopySource",
+    "DropCopy",
     "Fail",
     "Failure",
     "Fault",
@@ -75,10 +77,11 @@
 
 @dataclass(frozen=True)
 class CopySource:
-    """Name a copy of a run's memory: who keeps it, and whose run it was."""
+    """Name a copy of a run's memory: its keeper, and where its name holds."""
 
-    upstream: ListedUpstream
-    run_id: str
+    keeper: ListedUpstream
+    named_by: ListedUpstream
+    copy_id: str
 
 
 @dataclass(frozen=True)
@@ -107,6 +110,22 @@
     upstream: ListedUpstream
 
 
+@dataclass(frozen=True)
+class CopyRun:
+    """Copy the memory of an attempt's run to a keeper."""
+
+    number: int
+    source: ListedUpstream
+    keeper: ListedUpstream
+
+
+@dataclass(frozen=True)
+class DropCopy:
+    """Free a copy that is no longer needed."""
+
+    copy: CopySource
+
+
 @dataclass(frozen=True)
 class Finish:
     """End the caller's answer as complete, with what this attempt gave."""
@@ -123,4 +142,4 @@
     retry_after_ms: float = 0.0
 
 
-Action = Send | Abandon | Probe | Finish | Fail
+Action = Send | Abandon | Probe | CopyRun | DropCopy | Finish | Fail
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -32,6 +32,8 @@
     # A short call to another region takes about 25 ms longer and is billed.
     far_call_ms: float = 60.0
     failure_ms: float = 400.0
+    # Reading a prompt twice costs more than any detour.
+    suspect_zone_ms: float = 4_000.0
 
 
 @dataclass
@@ -89,6 +91,15 @@
             ]
         return self._pick(others, lambda item: self._copy_cost(item, now_ms))
 
+    def is_keeping(self, keeper: ListedUpstream, now_ms: float) -> bool:
+        """Say whether an upstream still lives that was given a copy."""
+        listed = self.upstreams.get(keeper.upstream_id)
+        if listed is None or listed.incarnation != keeper.incarnation:
+            return False
+        if self.upstreams.is_superseded(listed):
+            return False
+        return not self.health.is_avoided(keeper.incarnation, now_ms)
+
     def has_any(self, service: str, now_ms: float) -> bool:
         """Say whether a service has an upstream at all."""
         return bool(self.upstreams.usable(service, now_ms))
@@ -160,4 +171,8 @@
 
     def _failures(self, upstream: ListedUpstream, now_ms: float) -> float:
         score = self.health.failure_score(upstream.incarnation, now_ms)
-        return score * self.options.failure_ms
+        cost_ms = score * self.options.failure_ms
+        zone = (upstream.service, upstream.availability_zone)
+        if self.health.is_zone_suspect(zone, upstream.incarnation, now_ms):
+            cost_ms += self.options.suspect_zone_ms
+        return cost_ms
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -7,13 +7,14 @@
 from typing import Protocol
 
 from bronzeline_kernel.forwarding.config import ForwardingConfig, WorkspaceKeys
-from bronzeline_kernel.forwarding.messages import CallerRequest, Send
+from bronzeline_kernel.forwarding.messages import CallerRequest, CopySource, Send
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
 __all__ = [
     "AnswerHead",
     "ConfigReading",
     "DirectoryStore",
+    "RunCopier",
     "UpstreamChange",
     "UpstreamChanges",
     "UpstreamListing",
@@ -78,6 +79,18 @@
         """Close the connections."""
 
 
+class RunCopier(Protocol):
+    """Have engines copy the memory of their runs to each other."""
+
+    async def copy_run(
+        self, request: CallerRequest, source: ListedUpstream, keeper: ListedUpstream
+    ) -> CopySource:
+        """Copy what is new of a run to a keeper; raises `UpstreamError`."""
+
+    async def drop_copy(self, copy: CopySource) -> None:
+        """Free a copy at both ends; raises `UpstreamError`."""
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """Hold what the head of an upstream's answer says."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -10,7 +10,9 @@
     Abandon,
     Action,
     CallerRequest,
+    CopyRun,
     CopySource,
+    DropCopy,
     Fail,
     Failure,
     Fault,
@@ -40,12 +42,19 @@
     leave_without_copy_ms: float = 2_500.0
     # A copy that gives nothing by then is not going to.
     copy_start_ms: float = 400.0
-    # A prompt is read at 5 tokens a millisecond, behind at most two others.
-    prompt_tokens_per_ms: float = 5.0
-    first_event_factor: float = 3.0
-    first_event_extra_ms: float = 1_500.0
-    # The copy grows several times a second from the first prompt tokens on.
-    copy_exists_after_ms: float = 250.0
+    # Before the first event silence is normal: the prompt is read, behind
+    # others. An upstream that gave a sign of life within this time is busy,
+    # not dead, and reading the prompt twice costs more than the stream.
+    sign_of_life_ms: float = 1_000.0
+    # Without such a sign the stream is moved while another upstream could
+    # still give the first event within the objective of 4,500 ms.
+    first_event_ms: float = 3_000.0
+    first_event_busy_ms: float = 9_000.0
+    # A connection attempt before the first event can wait: no gap is open.
+    probe_prompt_again_ms: float = 600.0
+    # A copy made on request is freed by its source after 4 s, well exceeded.
+    copy_refresh_ms: float = 2_500.0
+    copy_retry_ms: float = 500.0
     # All upstreams turned the request away: they free slots within this.
     retry_after_ms: float = 500.0
     # One request may not knock at every door of a large fleet.
@@ -64,6 +73,8 @@
     is_from_copy: bool = False
     copy_to: ListedUpstream | None = None
     has_events: bool = False
+    copy: CopySource | None = None
+    copy_due_ms: float = 0.0
 
 
 @dataclass
@@ -122,9 +133,10 @@
         """Take in that an attempt's answer is complete."""
         if not self._is_current(number):
             return []
+        drops = self._drop_copy()
         self._release()
         self.is_over = True
-        return [Finish(number)]
+        return [Finish(number), *drops]
 
     def lost(self, number: int, fault: Fault, now_ms: float) -> list[Action]:
         """Take in that an attempt failed, and go on elsewhere."""
@@ -161,12 +173,26 @@
         if silent_ms >= self._leave_after_ms(attempt, now_ms):
             return self._leave(attempt, now_ms)
         if silent_ms < self.options.probe_after_ms:
-            return []
-        if now_ms - attempt.asked_at_ms < self.options.probe_again_ms:
+            return self._keep_copy(attempt, now_ms)
+        if now_ms - attempt.asked_at_ms < self._probe_again_ms(attempt):
             return []
         attempt.asked_at_ms = now_ms
         return [Probe(attempt.upstream)]
 
+    def copied(
+        self, number: int, copy: CopySource | None, now_ms: float
+    ) -> list[Action]:
+        """Take in that a copy was made, or that it could not be."""
+        attempt = self.attempt
+        if not self._is_current(number) or attempt is None:
+            return [DropCopy(copy)] if copy is not None else []
+        if copy is None:
+            attempt.copy_due_ms = now_ms + self.options.copy_retry_ms
+            return []
+        attempt.copy = copy
+        attempt.copy_due_ms = now_ms + self.options.copy_refresh_ms
+        return []
+
     def stalled(self, now_ms: float) -> None:
         """Count no silence for the time in which this process stood still."""
         if self.attempt is not None:
@@ -175,9 +201,10 @@
     def cancel(self) -> list[Action]:
         """Stop, since the caller left."""
         number = self.attempt.number if self.attempt else 0
+        drops = self._drop_copy()
         self._release()
         self.is_over = True
-        return [Abandon(number)] if number else []
+        return [Abandon(number), *drops] if number else []
 
     def _is_current(self, number: int) -> bool:
         if self.is_over or self.attempt is None:
@@ -192,8 +219,44 @@
             return options.leave_without_copy_ms
         if attempt.is_from_copy:
             return options.copy_start_ms
-        prompt_ms = self.request.n_prompt_tokens / options.prompt_tokens_per_ms
-        return options.first_event_extra_ms + options.first_event_factor * prompt_ms
+        last_sign_ms = self.placement.health.last_answer_at_ms(
+            attempt.upstream.incarnation
+        )
+        if now_ms - last_sign_ms < options.sign_of_life_ms:
+            return options.first_event_busy_ms
+        return options.first_event_ms
+
+    def _probe_again_ms(self, attempt: Attempt) -> float:
+        options = self.options
+        if attempt.has_events or attempt.is_from_copy:
+            return options.probe_again_ms
+        return options.probe_prompt_again_ms
+
+    def _keep_copy(self, attempt: Attempt, now_ms: float) -> list[Action]:
+        """Have a new copy made where the one sent along is lost."""
+        if not attempt.has_events or attempt.copy_to is None:
+            return []
+        if now_ms < attempt.copy_due_ms:
+            return []
+        if attempt.copy is None and self._is_kept(attempt.copy_to, now_ms):
+            return []
+        keeper = attempt.copy.keeper if attempt.copy else None
+        if keeper is None or not self._is_kept(keeper, now_ms):
+            attempt.copy = None
+            keeper = self.placement.for_copy(attempt.upstream, now_ms)
+        if keeper is None:
+            return []
+        attempt.copy_due_ms = now_ms + self.options.copy_refresh_ms
+        return [CopyRun(attempt.number, attempt.upstream, keeper)]
+
+    def _is_kept(self, keeper: ListedUpstream, now_ms: float) -> bool:
+        return self.placement.is_keeping(keeper, now_ms)
+
+    def _drop_copy(self) -> list[Action]:
+        attempt = self.attempt
+        if attempt is None or attempt.copy is None:
+            return []
+        return [DropCopy(attempt.copy)]
 
     def _leave(self, attempt: Attempt, now_ms: float) -> list[Action]:
         self._release()
@@ -210,10 +273,9 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, "attempts used up")
         if not self.budget.spend():
             return self._fail(Failure.UNKNOWN_OUTCOME, "retry budget spent")
-        keeper = self._copy_of(attempt, now_ms)
-        if keeper is not None:
-            copy = CopySource(keeper, self.request.request_id)
-            return [self._send(keeper, now_ms, copy)]
+        copy = self._copy_of(attempt, now_ms)
+        if copy is not None:
+            return [self._send(copy.keeper, now_ms, copy)]
         return self._send_prompt(now_ms)
 
     def _after_rejection(
@@ -257,17 +319,17 @@
     def _keeps(self) -> bool:
         return self.route.is_resumable
 
-    def _copy_of(self, attempt: Attempt, now_ms: float) -> ListedUpstream | None:
-        keeper = attempt.copy_to
-        if keeper is None:
-            return None
-        if now_ms - attempt.sent_at_ms < self.options.copy_exists_after_ms:
+    def _copy_of(self, attempt: Attempt, now_ms: float) -> CopySource | None:
+        """Return the copy to go on from; there is none before the first event."""
+        if not attempt.has_events:
             return None
-        is_listed = self.placement.upstreams.get(keeper.upstream_id) == keeper
-        if not is_listed:
+        copy = attempt.copy
+        if copy is None and attempt.copy_to is not None:
+            keeper = attempt.copy_to
+            copy = CopySource(keeper, keeper, self.request.request_id)
+        if copy is None or not self._is_kept(copy.keeper, now_ms):
             return None
-        is_avoided = self.placement.health.is_avoided(keeper.incarnation, now_ms)
-        return None if is_avoided else keeper
+        return copy
 
     def _note(self, attempt: Attempt, fault: Fault, now_ms: float) -> None:
         self._tried.add(attempt.upstream.incarnation)
@@ -306,6 +368,9 @@
     placement: Placement, upstream: ListedUpstream, fault: Fault, now_ms: float
 ) -> None:
     """Tell the health record what a failed attempt says of an upstream."""
+    if fault in {Fault.UNREACHABLE, Fault.BROKEN, Fault.SILENT}:
+        zone = (upstream.service, upstream.availability_zone)
+        placement.health.zone_failed(zone, now_ms)
     if fault is Fault.FULL:
         placement.health.was_full(upstream.incarnation, now_ms)
     elif fault is Fault.REPLACED:
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -88,6 +88,13 @@
         """Return an upstream's entry."""
         return self._listed.get(upstream_id)
 
+    def is_superseded(self, entry: ListedUpstream) -> bool:
+        """Say whether a later start is listed at the same address."""
+        return any(
+            other.address == entry.address and other.started_at_ms > entry.started_at_ms
+            for other in self._listed.values()
+        )
+
     def usable(self, service: str, now_ms: float) -> list[ListedUpstream]:
         """List the upstreams of a service that may get new work.
 
