Routers tell each other runs, prompts and lost zones

Cause: a caller whose router was stopped came back to another, which read the prompt again; routers of different zones sent their prompts to one engine. Each router now enters its address in the store and tells peers by datagram: copies of its runs to its zone, prompts per engine and lost zones to all.

--- a/packages/daemon/bronzeline_daemon/forwarding/caller_answer.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_answer.py
@@ -37,12 +37,14 @@
         self.has_started = False
         self.is_over = False
         self.is_gone = False
+        self.is_cut = False
 
     def on_gone(self, callback: Callable[[], None]) -> None:
         """Call back when the caller closes the connection."""
 
         def take_close() -> None:
             self.is_gone = True
+            self.is_cut = not self.is_over
             if not self.is_over:
                 callback()
 
@@ -78,6 +80,7 @@
         """End the answer so that it does not look complete."""
         if not self.is_over:
             self.is_over = True
+            self.is_cut = True
             self._connection.close()
 
     def _write_head(self, status: int, fields: HTTPHeaders, body: bytes) -> None:
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -0,0 +1,179 @@
+"""Tell peers of runs, load and lost zones, by datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from random import Random
+from typing import Any, cast
+
+from bronzeline_daemon.logs import log_event
+from bronzeline_daemon.peers import MessageCodec, PeerMessageError
+from bronzeline_kernel.exceptions import StoreUnavailableError
+from bronzeline_kernel.forwarding import (
+    DirectoryStore,
+    ForwardingSettings,
+    LoadReport,
+    Placement,
+    RouterEntry,
+    RunDirectory,
+    RunEnded,
+    RunRecord,
+    ZoneLost,
+)
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["ForwardingPeers"]
+
+# A stale list is read at a tenth of a call's price; a new router is known
+# after this long.
+LIST_EVERY_S = 2.0
+RETRY_S = 0.5
+# Load changes with every prompt, which takes a second and more; a change is
+# told everywhere, since a report of 100 bytes costs less than a prompt that
+# waits behind another.
+REPORT_EVERY_S = 0.1
+REPEAT_REPORT_EVERY = 5
+# A zone is reported lost to other zones, where bytes are billed, this often
+# at most.
+ZONE_LOST_EVERY_MS = 400.0
+
+Zone = tuple[str, str]
+
+
+class ForwardingPeers(asyncio.DatagramProtocol):
+    """Send what peers can use and take in what they send.
+
+    Nothing rests on a datagram's arrival: what is lost is sent again, or
+    found out otherwise.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        store: DirectoryStore,
+        placement: Placement,
+        runs: RunDirectory,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._own = RouterEntry(
+            settings.router_id,
+            settings.peers.host,
+            settings.peers.port,
+            settings.availability_zone,
+        )
+        self._store = store
+        self._placement = placement
+        self._runs = runs
+        self._clock = clock
+        self._random = random
+        self._codec = MessageCodec()
+        for message_type in (LoadReport, RunEnded, RunRecord, ZoneLost):
+            self._codec.register(message_type)
+        self._peers: tuple[RouterEntry, ...] = ()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._zone_told_at_ms: dict[Zone, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        placement.health.on_zone_failed = self._tell_zone_lost
+
+    async def start(self) -> None:
+        """Listen for datagrams, and begin to find peers."""
+        loop = asyncio.get_running_loop()
+        address = (self._own.host, self._own.peer_port)
+        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        self._tasks = [
+            asyncio.create_task(self._find_peers()),
+            asyncio.create_task(self._report_load()),
+        ]
+
+    def stop(self) -> None:
+        """Stop sending and listening."""
+        for task in self._tasks:
+            task.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def share_run(self, record: RunRecord) -> None:
+        """Tell the peers to which a caller may come back of a run's copy."""
+        self._send(record, self._in_zone())
+
+    def end_run(self, request_hash: str) -> None:
+        """Tell the peers that a run ended."""
+        self._send(RunEnded(request_hash), self._in_zone())
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket to send on."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take in a peer's message."""
+        now_ms = self._clock.now_ms()
+        try:
+            message = self._codec.decode(data)
+        except PeerMessageError as error:
+            log_event("peer_message_unreadable", peer=str(addr), error=str(error))
+            return
+        match message:
+            case RunRecord():
+                self._runs.put(message, now_ms)
+            case RunEnded(request_hash):
+                self._runs.remove(request_hash)
+            case ZoneLost(service, zone):
+                self._placement.health.peer_lost_zone((service, zone), now_ms)
+            case LoadReport(router_id, prompts, streams):
+                self._placement.take_peer_load(router_id, prompts, streams, now_ms)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a datagram could not be delivered."""
+        log_event("peer_unreachable", error=str(exc))
+
+    def _tell_zone_lost(self, zone: Zone) -> None:
+        now_ms = self._clock.now_ms()
+        told_at_ms = self._zone_told_at_ms.get(zone, float("-inf"))
+        if now_ms - told_at_ms >= ZONE_LOST_EVERY_MS:
+            self._zone_told_at_ms[zone] = now_ms
+            self._send(ZoneLost(*zone), self._peers)
+
+    def _in_zone(self) -> Iterable[RouterEntry]:
+        zone = self._own.availability_zone
+        return (item for item in self._peers if item.availability_zone == zone)
+
+    def _send(self, message: object, peers: Iterable[RouterEntry]) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = self._codec.encode(message)
+        for peer in peers:
+            self._transport.sendto(data, (peer.host, peer.peer_port))
+
+    async def _find_peers(self) -> None:
+        is_announced = False
+        while True:
+            try:
+                if not is_announced:
+                    await self._store.announce_router(self._own)
+                    is_announced = True
+                entries = await self._store.list_routers()
+            except StoreUnavailableError as error:
+                log_event("peers_not_listed", error=str(error))
+                await asyncio.sleep(RETRY_S * self._random.uniform(1.0, 2.0))
+                continue
+            own_id = self._own.router_id
+            self._peers = tuple(item for item in entries if item.router_id != own_id)
+            await asyncio.sleep(LIST_EVERY_S * self._random.uniform(0.8, 1.2))
+
+    async def _report_load(self) -> None:
+        """Tell the zone of every change, and all of changes in prompts."""
+        last: tuple[dict[str, int], dict[str, int]] = ({}, {})
+        n_same = 0
+        while True:
+            await asyncio.sleep(REPORT_EVERY_S)
+            load = self._placement.own_load()
+            has_new_prompts = load[0] != last[0]
+            n_same = n_same + 1 if load == last else 0
+            last = load
+            is_idle = not load[1] and n_same > REPEAT_REPORT_EVERY
+            if is_idle or n_same % REPEAT_REPORT_EVERY:
+                continue
+            report = LoadReport(self._own.router_id, *load)
+            self._send(report, self._peers if has_new_prompts else self._in_zone())
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -11,6 +11,7 @@
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
 from bronzeline_daemon.forwarding.copies import Copies
+from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.forwarding import (
@@ -72,6 +73,9 @@
     upstream_id: str
     n_attempts: int
     duration_ms: float
+    # Both as the caller saw them; 0 where there was no event.
+    first_event_ms: float
+    longest_gap_ms: float
 
 
 @dataclass(frozen=True)
@@ -83,6 +87,7 @@
     wire: WireFormat
     prober: Prober
     copies: Copies
+    peers: ForwardingPeers
     report: Callable[[RequestReport], None]
 
 
@@ -108,6 +113,9 @@
         self._attempts: dict[int, Attempt] = {}
         self._started_at_ms = parts.clock.now_ms()
         self._upstream_id = ""
+        self.first_event_ms = 0.0
+        self.longest_gap_ms = 0.0
+        self._event_at_ms = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._listener = AttemptListener(
             self.take_head, self.take_data, self.take_end, self._take_lost
@@ -165,9 +173,25 @@
         """End the caller's answer with what an attempt brought."""
         raise NotImplementedError
 
+    def after_tick(self, now_ms: float) -> None:
+        """Look at the time for what is not the machine's."""
+
+    def after_end(self) -> None:
+        """Take in that the request ended."""
+
     def note_stall(self) -> None:
         """Take in that this process stood still."""
 
+    def note_event(self) -> None:
+        """Time an event that goes to the caller."""
+        now_ms = self.now_ms()
+        if self._event_at_ms:
+            gap_ms = now_ms - self._event_at_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        else:
+            self.first_event_ms = now_ms - self._started_at_ms
+        self._event_at_ms = now_ms
+
     def head_of(self, number: int) -> AnswerHead | None:
         """Return the head of an attempt's answer."""
         attempt = self._attempts.get(number)
@@ -250,12 +274,14 @@
         if now_ms - due_ms > STALL_MS:
             self.note_stall()
         self.perform(self._machine.tick(now_ms))
+        self.after_tick(now_ms)
         if not self._machine.is_over:
             self._arm()
 
     def _report(self, outcome: str, reason: str) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        self.after_end()
         duration_ms = self.now_ms() - self._started_at_ms
         self.parts.report(
             RequestReport(
@@ -265,6 +291,8 @@
                 self._upstream_id,
                 len(self._attempts),
                 duration_ms,
+                self.first_event_ms,
+                self.longest_gap_ms,
             )
         )
 
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -35,7 +35,7 @@
 # The balancer asks once a second and takes a router out after two misses.
 BALANCER_DELAY_MS = 2_600.0
 # What still runs in the last part of the grace period is cut by the kill.
-STOP_SHARE = 0.94
+STOP_SHARE = 0.975
 STOP_POLL_S = 0.05
 LISTEN_BACKLOG = 512
 
@@ -57,7 +57,7 @@
         max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
         self.view = ForwardingView(LeaseTerms(max_age_ms, READY_SHARE * max_age_ms))
         self.service = ForwardingService(
-            settings, self.view, wire, copier, self.clock, self.random
+            settings, self.view, wire, copier, store, self.clock, self.random
         )
         self.front = Front(wire, self.service.limits, self.service.handle)
         self.watch = DirectoryWatch(
@@ -74,9 +74,10 @@
         is_stopping = self._stopping_since_ms is not None
         return not is_stopping and self.view.is_ready(self.clock.now_ms())
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Listen, and begin to follow the store."""
         self.watch.start()
+        await self.service.peers.start()
         for server, address in (
             (self._readiness, self.settings.readiness),
             (self.front.server, self.settings.callers),
@@ -105,6 +106,7 @@
             await asyncio.sleep(STOP_POLL_S)
         log_event("stopped", n_cut=self.service.n_running)
         self.watch.stop()
+        self.service.peers.stop()
         self.front.server.stop()
         self._store.close()
         self.stopped.set()
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 from bronzeline_daemon.forwarding.call_relay import CallRelay
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
 from bronzeline_daemon.forwarding.copies import Copies
+from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
 from bronzeline_daemon.forwarding.relay import RelayParts, RequestReport
 from bronzeline_daemon.forwarding.stream_relay import StreamRelay
@@ -18,17 +20,20 @@
     CallerLimits,
     CallerRequest,
     CallRun,
+    DirectoryStore,
     ForwardingSettings,
     ForwardingView,
     Placement,
     Refusal,
     Refused,
     RunCopier,
+    RunDirectory,
     StreamRun,
     UpstreamHealth,
     WireFormat,
     WorkKind,
     admit,
+    request_hash,
 )
 from bronzeline_kernel.protocols import Clock
 
@@ -56,6 +61,7 @@
         view: ForwardingView,
         wire: WireFormat,
         copier: RunCopier,
+        store: DirectoryStore,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -68,6 +74,10 @@
         self.placement = Placement(
             settings.availability_zone, view.upstreams, UpstreamHealth(), random
         )
+        self._runs = RunDirectory(view.upstreams)
+        self.peers = ForwardingPeers(
+            settings, store, self.placement, self._runs, clock, random
+        )
         self._budgets: dict[str, RetryBudget] = {}
         self.n_running = 0
         self._parts = RelayParts(
@@ -76,6 +86,7 @@
             wire,
             Prober(),
             Copies(copier),
+            self.peers,
             self._take_report,
         )
 
@@ -106,9 +117,13 @@
             refusal=refused.refusal.value,
             reason=refused.reason,
             configuration_version=self._view.version,
-            lease_age_ms=round(self._view.lease.age_ms(self._clock.now_ms())),
+            lease_age_ms=self._lease_age_ms(),
         )
 
+    def _lease_age_ms(self) -> int | None:
+        age_ms = self._view.lease.age_ms(self._clock.now_ms())
+        return round(age_ms) if math.isfinite(age_ms) else None
+
     def _forward(
         self,
         request: CallerRequest,
@@ -126,7 +141,13 @@
         self.n_running += 1
         if route.kind is WorkKind.STREAM:
             stream = StreamRun(
-                request, route, service, self.placement, budget, deadline_ms
+                request,
+                route,
+                service,
+                self.placement,
+                budget,
+                deadline_ms,
+                inherited=self._runs.take(request_hash(request), now_ms),
             )
             StreamRelay(self._parts, stream, request, workspace, answer).start()
         else:
@@ -151,4 +172,6 @@
             upstream_id=report.upstream_id,
             n_attempts=report.n_attempts,
             duration_ms=round(report.duration_ms),
+            first_event_ms=round(report.first_event_ms),
+            longest_gap_ms=round(report.longest_gap_ms),
         )
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -10,12 +10,17 @@
     CallerRequest,
     CopySource,
     Fault,
+    RunRecord,
     StreamRun,
     WorkspaceKeys,
+    request_hash,
 )
 
 __all__ = ["StreamRelay"]
 
+# Peers forget a record after 5 s, and a datagram may be lost.
+SHARE_EVERY_MS = 1_500.0
+
 
 class StreamRelay(Relay):
     """Run one stream."""
@@ -32,6 +37,9 @@
         self._run = run
         self._splitters: dict[int, EventSplitter] = {}
         self._plain: dict[int, list[bytes]] = {}
+        self._hash = request_hash(request)
+        self._shared: CopySource | None = None
+        self._shared_at_ms = 0.0
 
     def take_head(self, number: int, head: AnswerHead) -> None:
         """Begin the caller's answer with the first head that is a success."""
@@ -55,6 +63,7 @@
                 self._lose(number, Fault.GARBLED)
                 return
             if self._run.takes_event(number, event_id, self.now_ms()):
+                self.note_event()
                 self.answer.write(event)
 
     def take_end(self, number: int) -> None:
@@ -83,6 +92,29 @@
         assert head is not None
         self.answer.send(head.status, head.headers, b"".join(self._plain[number]))
 
+    def after_tick(self, now_ms: float) -> None:
+        """Tell peers of a new copy, and again before they forget it."""
+        copy = self._run.copy(now_ms)
+        if copy is None:
+            return
+        is_recent = now_ms - self._shared_at_ms < SHARE_EVERY_MS
+        if copy == self._shared and is_recent:
+            return
+        self._shared, self._shared_at_ms = copy, now_ms
+        self.parts.peers.share_run(
+            RunRecord(
+                self._hash,
+                copy.keeper.upstream_id,
+                copy.named_by.upstream_id,
+                copy.copy_id,
+            )
+        )
+
+    def after_end(self) -> None:
+        """Tell peers of a run whose answer the caller got whole."""
+        if self._shared is not None and not self.answer.is_cut:
+            self.parts.peers.end_run(self._hash)
+
     def note_stall(self) -> None:
         """Count no silence for the time in which this process stood still."""
         self._run.stalled(self.now_ms())
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -33,6 +33,12 @@
     Probe,
     Send,
 )
+from bronzeline_kernel.forwarding.peer_messages import (
+    LoadReport,
+    RouterEntry,
+    RunEnded,
+    ZoneLost,
+)
 from bronzeline_kernel.forwarding.placement import Load, Placement, PlacementOptions
 from bronzeline_kernel.forwarding.protocols import (
     AnswerHead,
@@ -45,6 +51,11 @@
     WireFormat,
 )
 from bronzeline_kernel.forwarding.route_table import RouteTable
+from bronzeline_kernel.forwarding.run_directory import (
+    RunDirectory,
+    RunRecord,
+    request_hash,
+)
 from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
 from bronzeline_kernel.forwarding.stream_run import StreamOptions, StreamRun
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
@@ -77,6 +88,7 @@
     "LeaseTerms",
     "ListedUpstream",
     "Load",
+    "LoadReport",
     "Placement",
     "PlacementOptions",
     "Probe",
@@ -84,7 +96,11 @@
     "Refused",
     "Route",
     "RouteTable",
+    "RouterEntry",
     "RunCopier",
+    "RunDirectory",
+    "RunEnded",
+    "RunRecord",
     "Send",
     "ServiceInfo",
     "ServiceShare",
@@ -99,5 +115,7 @@
     "WireFormat",
     "WorkKind",
     "WorkspaceKeys",
+    "ZoneLost",
     "admit",
+    "request_hash",
 ]
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 __all__ = ["HealthOptions", "UpstreamHealth"]
@@ -49,6 +50,7 @@
         self._options = options or HealthOptions()
         self._records: dict[Incarnation, Record] = {}
         self._zone_failed_at_ms: dict[Zone, float] = {}
+        self.on_zone_failed: Callable[[Zone], None] = _ignore
 
     def succeeded(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in an answer, or an event, that the upstream gave."""
@@ -57,6 +59,10 @@
         record.avoid_until_ms = 0.0
         record.last_answer_at_ms = now_ms
 
+    def showed_life(self, upstream: Incarnation, now_ms: float) -> None:
+        """Take in that the upstream accepted a connection."""
+        self._record(upstream).last_answer_at_ms = now_ms
+
     def failed(self, upstream: Incarnation, now_ms: float) -> float:
         """Take in a failure; return for how long the upstream is avoided."""
         record = self._record(upstream)
@@ -73,6 +79,11 @@
     def zone_failed(self, zone: Zone, now_ms: float) -> None:
         """Take in that an upstream of a zone was lost without a word."""
         self._zone_failed_at_ms[zone] = now_ms
+        self.on_zone_failed(zone)
+
+    def peer_lost_zone(self, zone: Zone, now_ms: float) -> None:
+        """Take in that a peer lost an upstream of a zone without a word."""
+        self._zone_failed_at_ms[zone] = now_ms
 
     def is_zone_suspect(self, zone: Zone, upstream: Incarnation, now_ms: float) -> bool:
         """Say whether an upstream may have been lost with its zone."""
@@ -120,3 +131,7 @@
 
     def _record(self, upstream: Incarnation) -> Record:
         return self._records.setdefault(upstream, Record())
+
+
+def _ignore(zone: Zone) -> None:
+    """Take a zone's failure where nobody asked for it."""
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -39,6 +39,7 @@
     body: bytes = b""
     after_event: int = 0
     n_prompt_tokens: int = 0
+    prompt_parts: str = ""
 
     @property
     def path(self) -> str:
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -0,0 +1,43 @@
+"""Define what routers of a platform tell each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bronzeline_kernel.forwarding.run_directory import RunRecord
+
+__all__ = ["LoadReport", "RouterEntry", "RunEnded", "RunRecord", "ZoneLost"]
+
+
+@dataclass(frozen=True)
+class RouterEntry:
+    """Hold a router's entry in the store."""
+
+    router_id: str
+    host: str
+    peer_port: int
+    availability_zone: str
+
+
+@dataclass(frozen=True)
+class RunEnded:
+    """Say that a run ended, so that its copy is of no use."""
+
+    request_hash: str
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """Tell a router's prompts and streams on each upstream."""
+
+    router_id: str
+    prompts: dict[str, int]
+    streams: dict[str, int]
+
+
+@dataclass(frozen=True)
+class ZoneLost:
+    """Tell that an upstream of a service and zone was lost without a word."""
+
+    service: str
+    availability_zone: str
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
@@ -19,8 +19,9 @@
 class PlacementOptions:
     """Weigh what a place costs, in milliseconds of expected delay."""
 
-    # A prompt of 5,000 tokens is read in 1,000 ms, one after the other.
-    prompt_ms: float = 1_000.0
+    # A prompt of 5,000 tokens is read in 1,000 ms alone, and in 1,200 to
+    # 2,300 ms between the steps of running streams.
+    prompt_ms: float = 1_600.0
     # Each running stream lengthens every step of the batch.
     stream_ms: float = 60.0
     # A copy takes memory that running streams will want.
@@ -32,6 +33,8 @@
     # A short call to another region takes about 25 ms longer and is billed.
     far_call_ms: float = 60.0
     failure_ms: float = 400.0
+    # Peers tell of each change in prompts, which last about this long.
+    peer_load_life_ms: float = 2_500.0
     # Reading a prompt twice costs more than any detour.
     suspect_zone_ms: float = 4_000.0
 
@@ -46,6 +49,15 @@
     n_calls: int = 0
 
 
+@dataclass(frozen=True)
+class PeerLoad:
+    """Hold what a peer said of its work on each upstream, and when."""
+
+    at_ms: float
+    prompts: Mapping[str, int]
+    streams: Mapping[str, int]
+
+
 @dataclass
 class Placement:
     """Weigh the usable upstreams by own load, zone and evidence."""
@@ -56,11 +68,31 @@
     random: Random
     options: PlacementOptions = field(default_factory=PlacementOptions)
     _loads: dict[str, Load] = field(default_factory=dict)
+    _peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
 
     def load(self, upstream_id: str) -> Load:
         """Return the own load on an upstream, to be changed in place."""
         return self._loads.setdefault(upstream_id, Load())
 
+    def take_peer_load(
+        self,
+        router_id: str,
+        prompts: Mapping[str, int],
+        streams: Mapping[str, int],
+        now_ms: float,
+    ) -> None:
+        """Take in a peer's load, in place of what it said before."""
+        self._peer_loads[router_id] = PeerLoad(now_ms, prompts, streams)
+
+    def own_load(self) -> tuple[dict[str, int], dict[str, int]]:
+        """Return the own prompts and streams on each upstream."""
+        prompts = {key: item.n_prompts for key, item in self._loads.items()}
+        streams = {key: item.n_streams for key, item in self._loads.items()}
+        return (
+            {key: number for key, number in prompts.items() if number},
+            {key: number for key, number in streams.items() if number},
+        )
+
     def for_stream(
         self, service: str, now_ms: float, exclude: Collection[Incarnation] = ()
     ) -> ListedUpstream | None:
@@ -98,6 +130,9 @@
             return False
         if self.upstreams.is_superseded(listed):
             return False
+        zone = (keeper.service, keeper.availability_zone)
+        if self.health.is_zone_suspect(zone, keeper.incarnation, now_ms):
+            return False
         return not self.health.is_avoided(keeper.incarnation, now_ms)
 
     def has_any(self, service: str, now_ms: float) -> bool:
@@ -140,9 +175,10 @@
     def _stream_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
         load = self.load(upstream.upstream_id)
         options = self.options
+        n_peer_prompts, n_peer_streams = self._peers_on(upstream.upstream_id, now_ms)
         return (
-            load.n_prompts * options.prompt_ms
-            + load.n_streams * options.stream_ms
+            (load.n_prompts + n_peer_prompts) * options.prompt_ms
+            + (load.n_streams + n_peer_streams) * options.stream_ms
             + load.n_copies * options.copy_ms
             + self._far(upstream, options.far_stream_ms)
             + self._failures(upstream, now_ms)
@@ -166,6 +202,16 @@
             + self._failures(upstream, now_ms)
         )
 
+    def _peers_on(self, upstream_id: str, now_ms: float) -> tuple[int, int]:
+        fresh = [
+            item
+            for item in self._peer_loads.values()
+            if now_ms - item.at_ms < self.options.peer_load_life_ms
+        ]
+        n_prompts = sum(item.prompts.get(upstream_id, 0) for item in fresh)
+        n_streams = sum(item.streams.get(upstream_id, 0) for item in fresh)
+        return n_prompts, n_streams
+
     def _far(self, upstream: ListedUpstream, cost_ms: float) -> float:
         return 0.0 if upstream.availability_zone == self.own_zone else cost_ms
 
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -8,6 +8,7 @@
 
 from bronzeline_kernel.forwarding.config import ForwardingConfig, WorkspaceKeys
 from bronzeline_kernel.forwarding.messages import CallerRequest, CopySource, Send
+from bronzeline_kernel.forwarding.peer_messages import RouterEntry
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
 __all__ = [
@@ -75,6 +76,12 @@
     async def watch_upstreams(self, revision: int, wait_ms: float) -> UpstreamChanges:
         """Wait for changes of upstreams."""
 
+    async def announce_router(self, entry: RouterEntry) -> None:
+        """Write a router's own entry."""
+
+    async def list_routers(self) -> tuple[RouterEntry, ...]:
+        """Return the routers' entries, which may be seconds old."""
+
     def close(self) -> None:
         """Close the connections."""
 
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/run_directory.py
@@ -0,0 +1,67 @@
+"""Know which copies peers' runs have, for callers that come back here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from bronzeline_kernel.forwarding.messages import CallerRequest, CopySource
+from bronzeline_kernel.forwarding.upstream_set import UpstreamSet
+
+__all__ = ["RunDirectory", "RunRecord", "request_hash"]
+
+HASH_BYTES = 12
+# A copy is freed a little more than 4 s after its last part; a record that
+# has not been renewed for as long leads nowhere.
+RECORD_LIFE_MS = 5_000.0
+MAX_RECORDS = 4_000
+
+
+@dataclass(frozen=True)
+class RunRecord:
+    """Name the copy of a running stream, by the ids of its upstreams."""
+
+    request_hash: str
+    keeper_id: str
+    named_by_id: str
+    copy_id: str
+
+
+class RunDirectory:
+    """Hold the newest record of each of the peers' runs."""
+
+    def __init__(self, upstreams: UpstreamSet) -> None:
+        self._upstreams = upstreams
+        self._records: dict[str, tuple[RunRecord, float]] = {}
+
+    def put(self, record: RunRecord, now_ms: float) -> None:
+        """Take in a record; the oldest goes where there are too many."""
+        self._records.pop(record.request_hash, None)
+        self._records[record.request_hash] = (record, now_ms)
+        while len(self._records) > MAX_RECORDS:
+            del self._records[next(iter(self._records))]
+
+    def remove(self, hash_of_request: str) -> None:
+        """Forget a run that ended."""
+        self._records.pop(hash_of_request, None)
+
+    def take(self, hash_of_request: str, now_ms: float) -> CopySource | None:
+        """Return a run's copy once, since it can be used once."""
+        record, put_at_ms = self._records.pop(hash_of_request, (None, 0.0))
+        if record is None or now_ms - put_at_ms > RECORD_LIFE_MS:
+            return None
+        keeper = self._upstreams.get(record.keeper_id)
+        named_by = self._upstreams.get(record.named_by_id)
+        if keeper is None or named_by is None:
+            return None
+        return CopySource(keeper, named_by, record.copy_id)
+
+
+def request_hash(request: CallerRequest) -> str:
+    """Return the same hash for a stream's request and for each resend of it."""
+    digest = blake2b(digest_size=HASH_BYTES)
+    for part in (request.target, request.key or "", request.prompt_parts):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
--- a/packages/kernel/bronzeline_kernel/forwarding/settings.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/settings.py
@@ -26,6 +26,7 @@
     availability_zone: str
     callers: SocketAddress
     readiness: SocketAddress
+    peers: SocketAddress
     store: SocketAddress
     # How long after a key was taken away a request with it may still run.
     key_revocation_ms: float
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -45,7 +45,7 @@
     # Before the first event silence is normal: the prompt is read, behind
     # others. An upstream that gave a sign of life within this time is busy,
     # not dead, and reading the prompt twice costs more than the stream.
-    sign_of_life_ms: float = 1_000.0
+    sign_of_life_ms: float = 1_500.0
     # Without such a sign the stream is moved while another upstream could
     # still give the first event within the objective of 4,500 ms.
     first_event_ms: float = 3_000.0
@@ -88,6 +88,7 @@
     budget: RetryBudget
     deadline_ms: float
     options: StreamOptions = field(default_factory=StreamOptions)
+    inherited: CopySource | None = None
     last_event: int = 0
     attempt: Attempt | None = None
     is_over: bool = False
@@ -105,10 +106,18 @@
         return self.last_event > self.request.after_event
 
     def start(self, now_ms: float) -> list[Action]:
-        """Send the prompt to the first upstream."""
+        """Go on from the copy of an earlier run, or send the prompt."""
         self.budget.earn()
+        copy = self.inherited
+        if copy is not None and self._is_kept(copy.keeper, now_ms):
+            return [self._send(copy.keeper, now_ms, copy)]
         return self._send_prompt(now_ms)
 
+    def copy(self, now_ms: float) -> CopySource | None:
+        """Return the copy that the stream could go on from."""
+        attempt = self.attempt
+        return None if attempt is None else self._copy_of(attempt, now_ms)
+
     def takes_event(self, number: int, event_id: int, now_ms: float) -> bool:
         """Say whether an event is the next of the answer, and count it."""
         attempt = self.attempt
@@ -156,6 +165,8 @@
     ) -> list[Action]:
         """Take in whether an upstream that was asked accepts connections."""
         attempt = self.attempt
+        if is_alive:
+            self.placement.health.showed_life(upstream, now_ms)
         if is_alive or attempt is None or attempt.upstream.incarnation != upstream:
             return []
         if now_ms - attempt.progress_at_ms < self.options.probe_after_ms:
