--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -96,6 +96,7 @@
     n_rejected: int = 0
     n_lost: int = 0
     _tried: set[Incarnation] = field(default_factory=set)
+    _tried_again: set[Incarnation] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.last_event = self.request.after_event
@@ -158,7 +159,7 @@
         if fault.is_not_run:
             return self._after_rejection(attempt, fault, now_ms)
         self.n_lost += 1
-        return self._go_on(attempt, now_ms)
+        return self._go_on(attempt, fault, now_ms)
 
     def probed(
         self, upstream: Incarnation, is_alive: bool, now_ms: float
@@ -273,9 +274,23 @@
         self._release()
         self._note(attempt, Fault.SILENT, now_ms)
         self.n_lost += 1
-        return [Abandon(attempt.number), *self._go_on(attempt, now_ms)]
+        return [Abandon(attempt.number), *self._go_on(attempt, Fault.SILENT, now_ms)]
 
-    def _go_on(self, attempt: Attempt, now_ms: float) -> list[Action]:
+    def _may_try_again(self, attempt: Attempt, fault: Fault) -> bool:
+        """Say whether to ask the same upstream once more.
+
+        One that broke off may live and still hold what it read; one that
+        died refuses the connection at once.
+        """
+        if fault is not Fault.BROKEN:
+            return False
+        incarnation = attempt.upstream.incarnation
+        if incarnation in self._tried_again:
+            return False
+        self._tried_again.add(incarnation)
+        return True
+
+    def _go_on(self, attempt: Attempt, fault: Fault, now_ms: float) -> list[Action]:
         if not self.route.is_resumable:
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstream lost")
         if now_ms >= self.deadline_ms:
@@ -287,6 +302,8 @@
         copy = self._copy_of(attempt, now_ms)
         if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
+        if self._may_try_again(attempt, fault):
+            return [self._send(attempt.upstream, now_ms, None)]
         return self._send_prompt(now_ms)
 
     def _after_rejection(
