Refuse streams that arrive late in a stop, before they run

A stop plan now refuses streams after the balancer's two misses and calls that would not end, with 503 and 20 ms.

--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -20,6 +20,7 @@
     ForwardingView,
     LeaseTerms,
     RunCopier,
+    StopPlan,
     WireFormat,
 )
 from bronzeline_kernel.protocols import Clock
@@ -32,10 +33,6 @@
 # Readiness ends before the lease does, so that the balancer, which asks once
 # a second and wants two misses, has moved the callers by then.
 READY_SHARE = 0.72
-# The balancer asks once a second and takes a router out after two misses.
-BALANCER_DELAY_MS = 2_600.0
-# What still runs in the last part of the grace period is cut by the kill.
-STOP_SHARE = 0.975
 STOP_POLL_S = 0.05
 LISTEN_BACKLOG = 512
 
@@ -65,13 +62,12 @@
         )
         self._store = store
         self._readiness = HTTPServer(self._answer_readiness)
-        self._stopping_since_ms: float | None = None
         self.stopped = asyncio.Event()
 
     @property
     def is_ready(self) -> bool:
         """Say whether the balancer should send callers here."""
-        is_stopping = self._stopping_since_ms is not None
+        is_stopping = self.service.stop_plan is not None
         return not is_stopping and self.view.is_ready(self.clock.now_ms())
 
     async def start(self) -> None:
@@ -88,20 +84,18 @@
 
     def begin_stop(self) -> None:
         """Take no new connections once the balancer knows, and finish."""
-        if self._stopping_since_ms is not None:
+        if self.service.stop_plan is not None:
             return
-        self._stopping_since_ms = self.clock.now_ms()
+        plan = StopPlan(self.clock.now_ms(), self.settings.stop_grace_ms)
+        self.service.stop_plan = plan
         self.front.close_after_answers()
         log_event("stopping", n_running=self.service.n_running)
-        self._stop_task = asyncio.create_task(self._finish())
+        self._stop_task = asyncio.create_task(self._finish(plan))
 
-    async def _finish(self) -> None:
-        assert self._stopping_since_ms is not None
-        earliest_ms = self._stopping_since_ms + BALANCER_DELAY_MS
-        latest_ms = self._stopping_since_ms + STOP_SHARE * self.settings.stop_grace_ms
-        while self.clock.now_ms() < latest_ms:
+    async def _finish(self, plan: StopPlan) -> None:
+        while self.clock.now_ms() < plan.ends_at_ms:
             is_idle = not self.service.n_running
-            if is_idle and self.clock.now_ms() >= earliest_ms:
+            if is_idle and self.clock.now_ms() >= plan.idle_end_at_ms:
                 break
             await asyncio.sleep(STOP_POLL_S)
         log_event("stopped", n_cut=self.service.n_running)
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -28,6 +28,7 @@
     Refused,
     RunCopier,
     RunDirectory,
+    StopPlan,
     StreamRun,
     UpstreamHealth,
     WireFormat,
@@ -43,6 +44,7 @@
     Refusal.NO_ROUTE: 404,
     Refusal.UNKNOWN_KEY: 401,
     Refusal.NOT_READY: 503,
+    Refusal.STOPPING: 503,
 }
 # The reserve of repeats is shared by all routers; a site runs 7 to 9 today,
 # so a tenth each stays within it.
@@ -80,6 +82,7 @@
         )
         self._budgets: dict[str, RetryBudget] = {}
         self.n_running = 0
+        self.stop_plan: StopPlan | None = None
         self._parts = RelayParts(
             clock,
             self.channels,
@@ -98,7 +101,7 @@
     def handle(self, request: CallerRequest, answer: CallerAnswer) -> None:
         """Answer one request, now or later."""
         now_ms = self._clock.now_ms()
-        admitted = admit(self._view, request, now_ms)
+        admitted = admit(self._view, request, now_ms, self.stop_plan)
         if isinstance(admitted, Refused):
             self._refuse(request, admitted, answer)
         else:
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -57,6 +57,7 @@
     request_hash,
 )
 from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
+from bronzeline_kernel.forwarding.stop_plan import StopPlan
 from bronzeline_kernel.forwarding.stream_run import StreamOptions, StreamRun
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 from bronzeline_kernel.forwarding.view import ForwardingView
@@ -105,6 +106,7 @@
     "ServiceInfo",
     "ServiceShare",
     "SocketAddress",
+    "StopPlan",
     "StreamOptions",
     "StreamRun",
     "UpstreamChange",
--- a/packages/kernel/bronzeline_kernel/forwarding/admission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/admission.py
@@ -7,6 +7,7 @@
 
 from bronzeline_kernel.forwarding.config import Route, WorkspaceKeys
 from bronzeline_kernel.forwarding.messages import CallerRequest
+from bronzeline_kernel.forwarding.stop_plan import StopPlan
 from bronzeline_kernel.forwarding.view import ForwardingView
 
 __all__ = ["Admitted", "Refusal", "Refused", "admit"]
@@ -14,6 +15,8 @@
 # A router that lacks configuration or a fresh lease gets it within a second
 # or never; another router may have it.
 RETRY_AFTER_MS = 500.0
+# Any other router takes the request at once.
+STOPPING_RETRY_AFTER_MS = 20.0
 
 
 class Refusal(Enum):
@@ -22,6 +25,7 @@
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
     NOT_READY = "not_ready"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True)
@@ -42,7 +46,10 @@
 
 
 def admit(
-    view: ForwardingView, request: CallerRequest, arrived_at_ms: float
+    view: ForwardingView,
+    request: CallerRequest,
+    arrived_at_ms: float,
+    stop: StopPlan | None = None,
 ) -> Admitted | Refused:
     """Check a request's route and key against configuration and lease.
 
@@ -58,6 +65,8 @@
         if is_current:
             return Refused(Refusal.NO_ROUTE, "no route for host and path")
         return _not_ready("configuration not proven current")
+    if stop is not None and not stop.takes(route, arrived_at_ms):
+        return Refused(Refusal.STOPPING, "stopping", STOPPING_RETRY_AFTER_MS)
     if route.is_public or not table.needs_keys:
         return Admitted(route, None)
     if not is_current:
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -22,8 +22,9 @@
     # A prompt of 5,000 tokens is read in 1,000 ms alone, and in 1,200 to
     # 2,300 ms between the steps of running streams.
     prompt_ms: float = 1_600.0
-    # Each running stream lengthens every step of the batch.
-    stream_ms: float = 60.0
+    # A prompt beside a running stream slows it by about its own length, and
+    # a stream that lasts longer loses its engine more often.
+    stream_ms: float = 250.0
     # A copy takes memory that running streams will want.
     copy_ms: float = 20.0
     # A stream through another zone costs money but no time that matters:
