--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -97,7 +97,7 @@
     settings.load_profile("ci")
     PluggableTestProgram(
         module=None,
-        argv=["nose2", "-s", str(ROOT / "packages"), *rest],
+        argv=["nose2", "-s", str(ROOT), *rest],
         exit=False,
         extraHooks=[("startTest", outcomes), ("testOutcome", outcomes)],
     )
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
@@ -0,0 +1,89 @@
+import unittest
+
+from nose2.tools import params
+
+from bronzeline_kernel.forwarding import (
+    Admitted,
+    ForwardingView,
+    LeaseTerms,
+    Refusal,
+    StopPlan,
+    WorkKind,
+    admit,
+)
+from bronzeline_kernel.tests.forwarding.samples import config, fleet, request, route
+
+FRESH_MS, STALE_MS = 1_000.0, 6_000.0
+ROUTES = (
+    route(),
+    route(name="open", path_prefix="/open/", is_public=True),
+    route(kind=WorkKind.NON_IDEMPOTENT, name="order", path_prefix="/orders/"),
+)
+
+
+def view(is_loaded=True):
+    known = ForwardingView(LeaseTerms(4_700.0, 3_400.0))
+    if is_loaded:
+        known.take_config(config(routes=ROUTES))
+        known.upstreams.replace_all(fleet(), 0.0)
+        known.lease.prove(0.0)
+    return known
+
+
+class AdmissionTests(unittest.TestCase):
+    @params(
+        ("/drafts/1", "key-1", FRESH_MS, None),
+        ("/drafts/1", "key-1", STALE_MS, Refusal.NOT_READY),
+        ("/drafts/1", "key-9", FRESH_MS, Refusal.UNKNOWN_KEY),
+        ("/drafts/1", "key-9", STALE_MS, Refusal.NOT_READY),
+        ("/drafts/1", None, FRESH_MS, Refusal.UNKNOWN_KEY),
+        ("/open/1", None, FRESH_MS, None),
+        ("/open/1", None, STALE_MS, None),
+        ("/none/1", "key-1", FRESH_MS, Refusal.NO_ROUTE),
+        ("/none/1", "key-1", STALE_MS, Refusal.NOT_READY),
+    )
+    def test_route_key_and_lease_decide(self, path, key, now_ms, refusal):
+        found = admit(view(), request(target=path, key=key), now_ms)
+        self.assertEqual(getattr(found, "refusal", None), refusal)
+
+    def test_nothing_is_denied_before_the_configuration_is_known(self):
+        found = admit(view(is_loaded=False), request(target="/none/"), FRESH_MS)
+        self.assertEqual(found.refusal, Refusal.NOT_READY)
+        self.assertGreater(found.retry_after_ms, 0.0)
+
+    @params(
+        ("/drafts/1", 2_000.0, True),
+        ("/drafts/1", 3_000.0, False),
+        ("/orders/1", 3_000.0, True),
+        ("/orders/1", 7_000.0, False),
+    )
+    def test_a_stopping_router_takes_what_it_can_end(self, path, now_ms, expected):
+        known, plan = view(), StopPlan(0.0, 8_000.0)
+        known.lease.prove(now_ms)
+        found = admit(known, request(target=path), now_ms, plan)
+        self.assertEqual(isinstance(found, Admitted), expected)
+        if not expected:
+            self.assertEqual(found.refusal, Refusal.STOPPING)
+            self.assertGreater(found.retry_after_ms, 0.0)
+
+
+class ViewTests(unittest.TestCase):
+    @params(((1, 3, 2), 3), ((5, 5, 4), 5), ((2, 7, 9), 9))
+    def test_versions_only_rise(self, versions, expected):
+        known = view(is_loaded=False)
+        for version in versions:
+            known.take_config(config(version=version))
+        self.assertEqual(known.version, expected)
+
+    @params((True, True, True), (False, True, False), (True, False, False))
+    def test_ready_takes_configuration_upstreams_and_lease(
+        self, has_config, has_upstreams, expected
+    ):
+        known = view(is_loaded=False)
+        known.lease.prove(0.0)
+        if has_config:
+            known.take_config(config())
+        if has_upstreams:
+            known.upstreams.replace_all([], 0.0)
+        self.assertEqual(known.is_ready(1.0), expected)
+        self.assertFalse(known.is_ready(5_000.0))
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
@@ -0,0 +1,138 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from bronzeline_kernel.admission import RetryBudget
+from bronzeline_kernel.forwarding import (
+    Abandon,
+    CallRun,
+    Fail,
+    Failure,
+    Fault,
+    Finish,
+    Send,
+    WorkKind,
+)
+from bronzeline_kernel.tests.forwarding.samples import (
+    ORDERS,
+    fleet,
+    placement,
+    route,
+)
+
+DEADLINE_MS = 1_200.0
+ORDER = route(WorkKind.NON_IDEMPOTENT, max_attempts=1, target_latency_ms=250.0)
+STATUS = route(WorkKind.IDEMPOTENT, max_attempts=2, target_latency_ms=250.0)
+
+
+def call(kind, budget=10.0, per_zone=1):
+    place = placement(fleet(per_zone, ORDERS))
+    run = CallRun(kind, ORDERS, place, RetryBudget(0.5, budget), DEADLINE_MS)
+    return run, run.start(0.0)
+
+
+class CallTests(unittest.TestCase):
+    @params(ORDER, STATUS)
+    def test_the_first_whole_answer_is_the_callers(self, kind):
+        run, actions = call(kind)
+        self.assertEqual(actions[0].upstream.availability_zone, "zone-a")
+        self.assertEqual(run.answered(1, 50.0), [Finish(1)])
+        self.assertEqual(run.tick(9e9), [])
+
+    @params(
+        (ORDER, Fault.UNREACHABLE, Send, None),
+        (ORDER, Fault.FULL, Fail, Failure.NOT_RUN),
+        (ORDER, Fault.REPLACED, Fail, Failure.NOT_RUN),
+        (ORDER, Fault.BROKEN, Fail, Failure.UNKNOWN_OUTCOME),
+        (ORDER, Fault.GARBLED, Fail, Failure.UNKNOWN_OUTCOME),
+        (STATUS, Fault.UNREACHABLE, Send, None),
+        (STATUS, Fault.FULL, Send, None),
+        (STATUS, Fault.REPLACED, Send, None),
+        (STATUS, Fault.BROKEN, Send, None),
+        (STATUS, Fault.GARBLED, Send, None),
+    )
+    def test_a_lost_attempt_is_repeated_only_where_that_is_allowed(
+        self, kind, fault, expected, failure
+    ):
+        run, first = call(kind)
+        found = run.lost(1, fault, 10.0)[0]
+        self.assertIsInstance(found, expected)
+        self.assertEqual(getattr(found, "failure", None), failure)
+        if expected is Send:
+            self.assertNotEqual(found.upstream, first[0].upstream)
+        if failure is Failure.NOT_RUN:
+            self.assertGreater(found.retry_after_ms, 0.0)
+
+    @given(st.lists(st.sampled_from(Fault), max_size=12), st.booleans())
+    def test_what_may_run_once_reaches_one_upstream_at_most(self, faults, answers):
+        run, asked = call(ORDER, per_zone=2)
+        for fault in faults:
+            sent = [item for item in asked if isinstance(item, Send)]
+            asked += run.lost(sent[-1].number, fault, 10.0)
+        if answers:
+            sent = [item for item in asked if isinstance(item, Send)]
+            asked += run.answered(sent[-1].number, 20.0)
+        numbers = [item.number for item in asked if isinstance(item, Send)]
+        reached = [
+            number
+            for number, fault in zip(numbers, faults, strict=False)
+            if fault is not Fault.UNREACHABLE
+        ]
+        self.assertLessEqual(len(reached), 1)
+        ends = [item for item in asked if isinstance(item, Fail)]
+        if any(item.failure is Failure.NOT_RUN for item in ends):
+            self.assertTrue(all(f.is_not_run for f in faults[: len(numbers)]))
+
+    def test_attempts_are_bounded_by_the_route(self):
+        run, _ = call(STATUS, per_zone=3)
+        run.lost(1, Fault.BROKEN, 10.0)
+        end = run.lost(2, Fault.BROKEN, 20.0)[0]
+        self.assertEqual(end.failure, Failure.UNKNOWN_OUTCOME)
+
+    def test_connections_that_fail_are_bounded_too(self):
+        run, asked = call(STATUS, per_zone=3)
+        while not run.is_over:
+            asked = run.lost(asked[0].number, Fault.UNREACHABLE, 10.0)
+        self.assertEqual(asked[0].failure, Failure.NOT_RUN)
+
+    def test_a_repeat_draws_on_the_budget(self):
+        run, _ = call(STATUS, budget=0.0)
+        self.assertEqual(run.lost(1, Fault.BROKEN, 10.0)[0].reason, "broken")
+
+
+class TimeTests(unittest.TestCase):
+    @params((STATUS, 126.0, True), (STATUS, 123.0, False), (ORDER, 1_000.0, False))
+    def test_a_slow_call_is_hedged_once_where_it_may_repeat(
+        self, kind, now_ms, expected
+    ):
+        run, _ = call(kind)
+        found = run.tick(now_ms)
+        self.assertEqual([type(item) for item in found], [Send] if expected else [])
+        self.assertEqual(run.tick(now_ms + 1.0), [])
+
+    @params((1, 2), (2, 1))
+    def test_of_two_attempts_the_loser_is_stopped(self, winner, loser):
+        run, _ = call(STATUS)
+        run.tick(130.0)
+        found = run.answered(winner, 150.0)
+        self.assertEqual(found, [Finish(winner), Abandon(loser)])
+
+    def test_losing_one_of_two_attempts_ends_nothing(self):
+        run, _ = call(STATUS)
+        run.tick(130.0)
+        self.assertEqual(run.lost(1, Fault.BROKEN, 140.0), [])
+        self.assertEqual(run.answered(2, 150.0)[0], Finish(2))
+
+    @params((ORDER, [Fail]), (STATUS, [Abandon, Fail]))
+    def test_the_deadline_ends_the_wait_not_the_order(self, kind, expected):
+        run, _ = call(kind)
+        found = run.tick(DEADLINE_MS)
+        self.assertEqual([type(item) for item in found], expected)
+        self.assertEqual(found[-1].failure, Failure.TIMED_OUT)
+
+    @params((ORDER, []), (STATUS, [Abandon(1)]))
+    def test_a_caller_that_left_stops_only_what_may_repeat(self, kind, expected):
+        run, _ = call(kind)
+        self.assertEqual(run.cancel(), expected)
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/health_tests.py
@@ -0,0 +1,56 @@
+import unittest
+
+from nose2.tools import params
+
+from bronzeline_kernel.forwarding import HealthOptions, UpstreamHealth
+
+ENGINE = ("e1", 1)
+RESTARTED = ("e1", 2)
+ZONE = ("engines", "zone-a")
+
+
+class HealthTests(unittest.TestCase):
+    def setUp(self):
+        self.health = UpstreamHealth(HealthOptions())
+
+    def test_failures_in_a_row_are_avoided_longer_up_to_a_bound(self):
+        waits = [self.health.failed(ENGINE, 0.0) for _ in range(6)]
+        self.assertEqual(waits, [400.0, 800.0, 1_600.0, 3_000.0, 3_000.0, 3_000.0])
+
+    @params(("failed", 399.0), ("was_full", 299.0), ("was_replaced", 59_999.0))
+    def test_an_upstream_is_avoided_after_what_it_did(self, what, until_ms):
+        getattr(self.health, what)(ENGINE, 0.0)
+        self.assertTrue(self.health.is_avoided(ENGINE, until_ms))
+        self.assertFalse(self.health.is_avoided(ENGINE, until_ms + 2.0))
+
+    def test_a_restart_under_the_same_id_begins_anew(self):
+        self.health.failed(ENGINE, 0.0)
+        self.assertFalse(self.health.is_avoided(RESTARTED, 1.0))
+
+    def test_an_answer_ends_the_avoiding(self):
+        self.health.failed(ENGINE, 0.0)
+        self.health.succeeded(ENGINE, 1.0)
+        self.assertFalse(self.health.is_avoided(ENGINE, 2.0))
+
+    def test_the_score_of_failures_fades_by_half(self):
+        self.health.failed(ENGINE, 0.0)
+        half_life_ms = HealthOptions().half_life_ms
+        score = self.health.failure_score(ENGINE, half_life_ms)
+        self.assertAlmostEqual(score, 0.5)
+
+    @params((-1.0, 1.0, True), (1.0, 2.0, False), (-1.0, 1_501.0, False))
+    def test_a_zone_is_suspect_until_the_upstream_answers(
+        self, answered_ms, now_ms, expected
+    ):
+        self.health.succeeded(ENGINE, answered_ms)
+        self.health.peer_lost_zone(ZONE, 0.0)
+        is_suspect = self.health.is_zone_suspect(ZONE, ENGINE, now_ms)
+        self.assertEqual(is_suspect, expected)
+
+    def test_only_own_findings_are_passed_on(self):
+        told = []
+        self.health.on_zone_failed = told.append
+        self.health.peer_lost_zone(ZONE, 0.0)
+        self.assertEqual(told, [])
+        self.health.zone_failed(ZONE, 0.0)
+        self.assertEqual(told, [ZONE])
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
@@ -0,0 +1,79 @@
+import unittest
+
+from nose2.tools import params
+
+from bronzeline_kernel.tests.forwarding.samples import (
+    ENGINES,
+    fleet,
+    placement,
+    upstream,
+)
+
+
+class PlacementTests(unittest.TestCase):
+    def setUp(self):
+        self.placement = placement(fleet())
+
+    def test_an_idle_fleet_serves_the_own_zone(self):
+        for _ in range(20):
+            chosen = self.placement.for_stream(ENGINES, 0.0)
+            self.assertEqual(chosen.availability_zone, "zone-a")
+
+    def test_a_prompt_goes_to_another_zone_rather_than_wait(self):
+        for name in ("zone-a-0", "zone-a-1"):
+            self.placement.load(name).n_prompts = 1
+        chosen = self.placement.for_stream(ENGINES, 0.0)
+        self.assertNotEqual(chosen.availability_zone, "zone-a")
+
+    @params((0.0, True), (3_000.0, False))
+    def test_peers_prompts_count_while_they_are_fresh(self, now_ms, counts):
+        prompts = {"zone-a-0": 1, "zone-a-1": 1}
+        self.placement.take_peer_load("peer", prompts, {}, 0.0)
+        chosen = self.placement.for_stream(ENGINES, now_ms)
+        self.assertEqual(chosen.availability_zone != "zone-a", counts)
+
+    def test_a_peers_new_report_takes_the_place_of_the_old(self):
+        self.placement.take_peer_load("peer", {"zone-a-0": 9}, {}, 0.0)
+        self.placement.take_peer_load("peer", {"zone-a-1": 9}, {}, 0.0)
+        self.assertEqual(
+            self.placement.for_stream(ENGINES, 1.0).upstream_id, "zone-a-0"
+        )
+
+    def test_a_copy_lies_in_another_zone(self):
+        primary = self.placement.for_stream(ENGINES, 0.0)
+        for _ in range(20):
+            keeper = self.placement.for_copy(primary, 0.0)
+            self.assertNotEqual(keeper.availability_zone, primary.availability_zone)
+
+    def test_a_copy_lies_in_the_same_zone_only_where_there_is_no_other(self):
+        here = placement([upstream("a"), upstream("b")])
+        self.assertEqual(here.for_copy(upstream("a"), 0.0).upstream_id, "b")
+        alone = placement([upstream("a")])
+        self.assertIsNone(alone.for_copy(upstream("a"), 0.0))
+
+    def test_a_zone_that_lost_an_upstream_is_left(self):
+        self.placement.health.peer_lost_zone((ENGINES, "zone-a"), 0.0)
+        chosen = self.placement.for_stream(ENGINES, 1.0)
+        self.assertNotEqual(chosen.availability_zone, "zone-a")
+
+    def test_where_all_are_avoided_one_is_tried_all_the_same(self):
+        for item in fleet():
+            self.placement.health.failed(item.incarnation, 0.0)
+        self.assertIsNotNone(self.placement.for_stream(ENGINES, 1.0))
+
+    @params(("gone", False), ("restarted", False), ("avoided", False), ("here", True))
+    def test_a_keeper_keeps_while_it_lives(self, what, expected):
+        keeper = fleet()[-1]
+        if what == "gone":
+            self.placement.upstreams.remove(keeper.upstream_id, 0.0)
+        elif what == "restarted":
+            later = upstream(keeper.upstream_id, "zone-c", started=2)
+            self.placement.upstreams.put(later)
+        elif what == "avoided":
+            self.placement.health.failed(keeper.incarnation, 0.0)
+        self.assertEqual(self.placement.is_keeping(keeper, 1.0), expected)
+
+    def test_the_own_load_tells_only_what_runs(self):
+        self.placement.load("zone-a-0").n_prompts = 1
+        self.placement.load("zone-a-1").n_streams = 2
+        self.assertEqual(self.placement.own_load(), ({"zone-a-0": 1}, {"zone-a-1": 2}))
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/route_table_tests.py
@@ -0,0 +1,52 @@
+import unittest
+from collections import Counter
+from random import Random
+
+from nose2.tools import params
+
+from bronzeline_kernel.forwarding import RouteTable, ServiceShare
+from bronzeline_kernel.tests.forwarding.samples import config, route
+
+
+class RouteTableTests(unittest.TestCase):
+    def setUp(self):
+        self.table = RouteTable(
+            config(
+                routes=[
+                    route(name="root", path_prefix="/"),
+                    route(name="short", path_prefix="/a/"),
+                    route(name="long", path_prefix="/a/b/"),
+                    route(name="other", host="other.example", path_prefix="/x/"),
+                ]
+            )
+        )
+
+    @params(
+        ("desk.example", "/a/b/c", "long"),
+        ("desk.example", "/a/bc", "short"),
+        ("desk.example", "/a/b", "short"),
+        ("desk.example", "/q", "root"),
+        ("DESK.example:8740", "/a/1", "short"),
+        ("other.example", "/x/1", "other"),
+        ("other.example", "/a/1", None),
+        ("nowhere.example", "/a/1", None),
+        ("", "/a/1", None),
+        ("desk.example", "", None),
+    )
+    def test_the_longest_prefix_of_the_host_is_found(self, host, path, name):
+        found = self.table.find(host, path)
+        self.assertEqual(found.name if found else None, name)
+
+    @params(("key-1", "shop"), ("key-2", None), ("", None))
+    def test_a_key_leads_to_its_workspace(self, key, name):
+        found = self.table.workspace_of(key)
+        self.assertEqual(found.name if found else None, name)
+
+    @params(((1.0,), {0}), ((0.0, 1.0), {1}), ((0.0, 0.0), {0}), ((1.0, 1.0), {0, 1}))
+    def test_services_are_drawn_by_weight(self, weights, expected):
+        shares = tuple(
+            ServiceShare(str(number), weight) for number, weight in enumerate(weights)
+        )
+        shared, random = route(shares=shares), Random(1)
+        drawn = Counter(self.table.draw_service(shared, random) for _ in range(100))
+        self.assertEqual({int(name) for name in drawn}, expected)
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_set_tests.py
@@ -0,0 +1,63 @@
+import unittest
+
+from nose2.tools import params
+
+from bronzeline_kernel.forwarding import UpstreamSet
+from bronzeline_kernel.forwarding.upstream_set import REMOVAL_HOLD_MS
+from bronzeline_kernel.tests.forwarding.samples import ENGINES, ORDERS, upstream
+
+
+def names(upstreams, now_ms=0.0, service=ENGINES):
+    return sorted(item.upstream_id for item in upstreams.usable(service, now_ms))
+
+
+class UpstreamSetTests(unittest.TestCase):
+    def setUp(self):
+        self.upstreams = UpstreamSet()
+        entries = [upstream("e1"), upstream("e2"), upstream("o1", service=ORDERS)]
+        self.upstreams.replace_all(entries, 0.0)
+
+    def test_only_a_services_own_upstreams_are_usable(self):
+        self.assertEqual(names(self.upstreams), ["e1", "e2"])
+        self.assertEqual(names(self.upstreams, service=ORDERS), ["o1"])
+
+    def test_a_leaving_upstream_gets_nothing_at_once(self):
+        self.upstreams.put(upstream("e1", leaving=True))
+        self.assertEqual(names(self.upstreams), ["e2"])
+
+    def test_a_removal_counts_at_once_while_the_store_is_steady(self):
+        self.upstreams.remove("e1", 10.0)
+        self.assertEqual(names(self.upstreams, 10.0), ["e2"])
+
+    @params((1.0, ["e1", "e2"]), (REMOVAL_HOLD_MS + 1.0, ["e2"]))
+    def test_a_removal_after_an_outage_is_believed_later(self, after_ms, expected):
+        self.upstreams.store_was_away(1_000.0)
+        self.upstreams.replace_all([upstream("e2")], 1_000.0)
+        self.assertEqual(names(self.upstreams, 1_000.0 + after_ms), expected)
+
+    def test_an_entry_that_comes_back_is_not_removed_later(self):
+        self.upstreams.store_was_away(1_000.0)
+        self.upstreams.remove("e1", 1_000.0)
+        self.upstreams.put(upstream("e1"))
+        self.assertEqual(names(self.upstreams, 9_000.0), ["e1", "e2"])
+
+    def test_leaving_counts_also_while_removals_are_held(self):
+        self.upstreams.store_was_away(1_000.0)
+        self.upstreams.put(upstream("e1", leaving=True))
+        self.assertEqual(names(self.upstreams, 1_001.0), ["e2"])
+
+    @params((1, 2, "new"), (2, 1, "old"))
+    def test_of_one_address_only_the_later_start_holds(self, old, new, expected):
+        self.upstreams.replace_all(
+            [
+                upstream("old", started=old, port=80),
+                upstream("new", started=new, port=80),
+            ],
+            0.0,
+        )
+        self.assertEqual(names(self.upstreams), [expected])
+
+    def test_an_address_of_another_service_hides_the_former_one(self):
+        self.upstreams.put(upstream("x", service=ORDERS, started=5, port=90))
+        self.upstreams.put(upstream("y", started=4, port=90))
+        self.assertNotIn("y", names(self.upstreams))
