--- a/packages/daemon/bronzeline_daemon/__main__.py
+++ b/packages/daemon/bronzeline_daemon/__main__.py
@@ -11,6 +11,7 @@
 
 from bronzeline_daemon import __version__
 from bronzeline_daemon.daemon import Daemon
+from bronzeline_daemon.forwarding.command import run_forwarding
 from bronzeline_daemon.logs import configure_logs
 from bronzeline_kernel.config import Settings, load_settings
 from bronzeline_kernel.exceptions import BronzelineError, SettingsError
@@ -27,7 +28,7 @@
     "config_path",
     type=click.Path(dir_okay=False, path_type=Path),
     required=True,
-    help="The settings file, JSON with comments.",
+    help="The settings file: JSON with comments, or a platform's own.",
 )
 @click.option("--check", is_flag=True, help="Check the settings and stop.")
 @click.version_option(__version__)
@@ -35,6 +36,9 @@
     """Run a bronzeline router in the foreground."""
     try:
         registry = load_plugins()
+        if config_path.suffix in registry.names("forwarding_settings"):
+            run_forwarding(config_path, registry, check)
+            return
         settings = load_settings(config_path, registry)
     except SettingsError as error:
         for problem in error.problems:
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/command.py
@@ -0,0 +1,88 @@
+"""Start a router on the platform whose settings file it is given."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import click
+
+from bronzeline_daemon.clock import BootClock
+from bronzeline_daemon.forwarding.router import ForwardingRouter
+from bronzeline_daemon.logs import configure_logs, log_event
+from bronzeline_kernel.config import LogSettings
+from bronzeline_kernel.exceptions import SettingsError
+from bronzeline_kernel.forwarding import ForwardingSettings
+from bronzeline_kernel.plugins import PluginRegistry
+
+__all__ = ["run_forwarding"]
+
+# A change of settings without a signal is taken within the time that a
+# change of configuration may need.
+SETTINGS_POLL_S = 2.0
+
+
+def run_forwarding(path: Path, registry: PluginRegistry, check: bool) -> None:
+    """Check a platform's settings and run; raises `SettingsError`."""
+    settings = registry.create("forwarding_settings", path.suffix, path=path)
+    if check:
+        click.echo(f"{path}: settings are valid")
+        return
+    configure_logs(LogSettings())
+    asyncio.run(_run(path, settings, registry))
+
+
+async def _run(
+    path: Path, settings: ForwardingSettings, registry: PluginRegistry
+) -> None:
+    clock = BootClock()
+    router = ForwardingRouter(
+        settings,
+        registry.create(
+            "directory_store", settings.platform, address=settings.store, clock=clock
+        ),
+        registry.create("wire_format", settings.platform),
+        registry.create("run_copier", settings.platform, clock=clock),
+        clock,
+    )
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, router.begin_stop)
+    loop.add_signal_handler(signal.SIGINT, router.begin_stop)
+    loop.add_signal_handler(signal.SIGHUP, _reread, path, router, registry)
+    await router.start()
+    watch = asyncio.create_task(_watch_settings(path, router, registry))
+    await router.stopped.wait()
+    watch.cancel()
+
+
+async def _watch_settings(
+    path: Path, router: ForwardingRouter, registry: PluginRegistry
+) -> None:
+    """Read the settings again when their file changed without a signal."""
+    known = _changed_at(path)
+    while True:
+        await asyncio.sleep(SETTINGS_POLL_S)
+        found = _changed_at(path)
+        if found != known:
+            known = found
+            _reread(path, router, registry)
+
+
+def _changed_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        log_event("settings_unreadable", path=str(path), error=str(error))
+        return 0
+
+
+def _reread(path: Path, router: ForwardingRouter, registry: PluginRegistry) -> None:
+    """Take what may change in a running router; keep it where that is wrong."""
+    try:
+        settings = registry.create("forwarding_settings", path.suffix, path=path)
+    except SettingsError as error:
+        for problem in error.problems:
+            log_event("settings_declined", problem=str(problem))
+        return
+    router.take_settings(settings)
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -82,6 +82,13 @@
             server.add_sockets(sockets)
         log_event("started", router=self.settings.router_id)
 
+    def take_settings(self, settings: ForwardingSettings) -> None:
+        """Take the bounds of changed settings; addresses hold for a process."""
+        max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
+        self.view.lease.terms = LeaseTerms(max_age_ms, READY_SHARE * max_age_ms)
+        self.settings = settings
+        log_event("settings_taken", router=settings.router_id)
+
     def begin_stop(self) -> None:
         """Take no new connections once the balancer knows, and finish."""
         if self.service.stop_plan is not None:
--- a/packages/kernel/bronzeline_kernel/forwarding/settings.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/settings.py
@@ -22,6 +22,8 @@
 class ForwardingSettings:
     """Place one router and state the platform's bounds."""
 
+    # The name under which the platform's plug-ins are registered.
+    platform: str
     router_id: str
     availability_zone: str
     callers: SocketAddress
