Refuse requests that end engines, on every router

Cause: nothing on the platform path told killers from bystanders; one request ended nine stand-in engines. A stream ends after three deaths in a row. Ruled out: counting broken channels, since runners also reset on purpose.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -43,6 +43,7 @@
     channels: Channels
     wire: WireFormat
     listener: AttemptListener
+    started_at_ms: float
     head: AnswerHead | None = None
     _stream: IOStream | None = None
     _task: asyncio.Task[None] | None = field(default=None)
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -12,7 +12,9 @@
 from bronzeline_kernel.exceptions import StoreUnavailableError
 from bronzeline_kernel.forwarding import (
     DirectoryStore,
+    EngineLost,
     ForwardingSettings,
+    KillerGuard,
     LoadReport,
     Placement,
     RouterEntry,
@@ -54,6 +56,7 @@
         store: DirectoryStore,
         placement: Placement,
         runs: RunDirectory,
+        killers: KillerGuard,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -66,10 +69,11 @@
         self._store = store
         self._placement = placement
         self._runs = runs
+        self._killers = killers
         self._clock = clock
         self._random = random
         self._codec = MessageCodec()
-        for message_type in (LoadReport, RunEnded, RunRecord, ZoneLost):
+        for message_type in (EngineLost, LoadReport, RunEnded, RunRecord, ZoneLost):
             self._codec.register(message_type)
         self._peers: tuple[RouterEntry, ...] = ()
         self._transport: asyncio.DatagramTransport | None = None
@@ -121,6 +125,8 @@
                 self._runs.remove(request_hash)
             case ZoneLost(service, zone):
                 self._placement.health.peer_lost_zone((service, zone), now_ms)
+            case EngineLost():
+                self._killers.engine_lost(message, now_ms, is_own=False)
             case LoadReport(router_id, prompts, streams):
                 self._placement.take_peer_load(router_id, prompts, streams, now_ms)
 
@@ -168,6 +174,9 @@
         n_same = 0
         while True:
             await asyncio.sleep(REPORT_EVERY_S)
+            for lost in self._killers.settle(self._clock.now_ms()):
+                log_event("engine_died", upstream_id=lost.upstream_id)
+                self._send(lost, self._peers)
             load = self._placement.own_load()
             has_new_prompts = load[0] != last[0]
             n_same = n_same + 1 if load == last else 0
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -22,15 +22,18 @@
     CopyRun,
     CopySource,
     DropCopy,
+    EngineLost,
     Fail,
     Failure,
     Fault,
     Finish,
+    KillerGuard,
     ListedUpstream,
     Probe,
     Send,
     WireFormat,
     WorkspaceKeys,
+    request_hash,
 )
 from bronzeline_kernel.protocols import Clock
 
@@ -88,6 +91,7 @@
     prober: Prober
     copies: Copies
     peers: ForwardingPeers
+    killers: KillerGuard
     report: Callable[[RequestReport], None]
 
 
@@ -113,6 +117,7 @@
         self._attempts: dict[int, Attempt] = {}
         self._started_at_ms = parts.clock.now_ms()
         self._upstream_id = ""
+        self._hash = request_hash(request)
         self.first_event_ms = 0.0
         self.longest_gap_ms = 0.0
         self._event_at_ms = 0.0
@@ -147,6 +152,7 @@
                     self.parts.copies.drop(copy)
                 case Finish(number):
                     self.finish(number)
+                    self.parts.killers.ran_well(self._hash)
                     self._report("served", "")
                 case Fail():
                     self._fail(action)
@@ -179,6 +185,9 @@
     def after_end(self) -> None:
         """Take in that the request ended."""
 
+    def note_death(self) -> None:
+        """Take in that an upstream died under an attempt."""
+
     def note_stall(self) -> None:
         """Take in that this process stood still."""
 
@@ -206,6 +215,7 @@
             self.parts.channels,
             self.parts.wire,
             self._listener,
+            self.now_ms(),
         )
         self._attempts[action.number] = attempt
         log_event(
@@ -246,6 +256,27 @@
             upstream_id=self._upstream_id,
             after_ms=round(self.now_ms() - self._started_at_ms),
         )
+        if fault is Fault.BROKEN:
+            self._look_for_death(self._attempts[number])
+
+    def _look_for_death(self, attempt: Attempt) -> None:
+        """Find out whether the upstream died under an attempt, or lives."""
+        upstream = attempt.send.upstream
+        ran_ms = self.now_ms() - attempt.started_at_ms
+
+        def take_result(incarnation: tuple[str, int], is_alive: bool) -> None:
+            if is_alive:
+                return
+            lost = EngineLost(
+                upstream.upstream_id,
+                upstream.service,
+                upstream.availability_zone,
+                {self._hash: ran_ms},
+            )
+            self.parts.killers.engine_lost(lost, self.now_ms(), is_own=True)
+            self.note_death()
+
+        self.parts.prober.ask(upstream, take_result)
 
     def _fail(self, action: Fail) -> None:
         status = STATUS_OF_FAILURE[action.failure]
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -23,6 +23,7 @@
     DirectoryStore,
     ForwardingSettings,
     ForwardingView,
+    KillerGuard,
     Placement,
     Refusal,
     Refused,
@@ -45,6 +46,7 @@
     Refusal.UNKNOWN_KEY: 401,
     Refusal.NOT_READY: 503,
     Refusal.STOPPING: 503,
+    Refusal.QUARANTINED: 503,
 }
 # The reserve of repeats is shared by all routers; a site runs 7 to 9 today,
 # so a tenth each stays within it.
@@ -76,9 +78,10 @@
         self.placement = Placement(
             settings.availability_zone, view.upstreams, UpstreamHealth(), random
         )
+        self._killers = KillerGuard()
         self._runs = RunDirectory(view.upstreams)
         self.peers = ForwardingPeers(
-            settings, store, self.placement, self._runs, clock, random
+            settings, store, self.placement, self._runs, self._killers, clock, random
         )
         self._budgets: dict[str, RetryBudget] = {}
         self.n_running = 0
@@ -90,6 +93,7 @@
             Prober(),
             Copies(copier),
             self.peers,
+            self._killers,
             self._take_report,
         )
 
@@ -101,11 +105,15 @@
     def handle(self, request: CallerRequest, answer: CallerAnswer) -> None:
         """Answer one request, now or later."""
         now_ms = self._clock.now_ms()
+        name = request_hash(request)
         admitted = admit(self._view, request, now_ms, self.stop_plan)
+        if isinstance(admitted, Admitted) and self._killers.is_blocked(name, now_ms):
+            retry_after_ms = self._killers.retry_after_ms(name, now_ms)
+            admitted = Refused(Refusal.QUARANTINED, "ends engines", retry_after_ms)
         if isinstance(admitted, Refused):
             self._refuse(request, admitted, answer)
         else:
-            self._forward(request, admitted, answer, now_ms)
+            self._forward(request, name, admitted, answer, now_ms)
 
     def _refuse(
         self, request: CallerRequest, refused: Refused, answer: CallerAnswer
@@ -130,6 +138,7 @@
     def _forward(
         self,
         request: CallerRequest,
+        name: str,
         admitted: Admitted,
         answer: CallerAnswer,
         now_ms: float,
@@ -150,13 +159,17 @@
                 self.placement,
                 budget,
                 deadline_ms,
-                inherited=self._runs.take(request_hash(request), now_ms),
+                inherited=self._runs.take(name, now_ms),
+                is_blocked=lambda: self._is_blocked(name),
             )
             StreamRelay(self._parts, stream, request, workspace, answer).start()
         else:
             call = CallRun(route, service, self.placement, budget, deadline_ms)
             CallRelay(self._parts, call, request, workspace, answer).start()
 
+    def _is_blocked(self, name: str) -> bool:
+        return self._killers.is_blocked(name, self._clock.now_ms())
+
     def _budget(self, service: str) -> RetryBudget:
         if service not in self._budgets:
             self._budgets[service] = RetryBudget(
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -13,7 +13,6 @@
     RunRecord,
     StreamRun,
     WorkspaceKeys,
-    request_hash,
 )
 
 __all__ = ["StreamRelay"]
@@ -37,7 +36,6 @@
         self._run = run
         self._splitters: dict[int, EventSplitter] = {}
         self._plain: dict[int, list[bytes]] = {}
-        self._hash = request_hash(request)
         self._shared: CopySource | None = None
         self._shared_at_ms = 0.0
 
@@ -115,6 +113,10 @@
         if self._shared is not None and not self.answer.is_cut:
             self.parts.peers.end_run(self._hash)
 
+    def note_death(self) -> None:
+        """Count the upstreams that died in a row."""
+        self._run.upstream_died()
+
     def note_stall(self) -> None:
         """Count no silence for the time in which this process stood still."""
         self._run.stalled(self.now_ms())
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -18,6 +18,11 @@
     WorkspaceKeys,
 )
 from bronzeline_kernel.forwarding.health import HealthOptions, UpstreamHealth
+from bronzeline_kernel.forwarding.killers import (
+    EngineLost,
+    KillerGuard,
+    KillerOptions,
+)
 from bronzeline_kernel.forwarding.lease import FreshnessLease, LeaseTerms
 from bronzeline_kernel.forwarding.messages import (
     Abandon,
@@ -77,6 +82,7 @@
     "DirectoryStore",
     "DropCopy",
     "EngineInfo",
+    "EngineLost",
     "Fail",
     "Failure",
     "Fault",
@@ -86,6 +92,8 @@
     "ForwardingView",
     "FreshnessLease",
     "HealthOptions",
+    "KillerGuard",
+    "KillerOptions",
     "LeaseTerms",
     "ListedUpstream",
     "Load",
--- a/packages/kernel/bronzeline_kernel/forwarding/admission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/admission.py
@@ -26,6 +26,7 @@
     UNKNOWN_KEY = "unknown_key"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bronzeline_kernel.admission import RetryBudget
@@ -57,6 +58,9 @@
     copy_retry_ms: float = 500.0
     # All upstreams turned the request away: they free slots within this.
     retry_after_ms: float = 500.0
+    # After three upstreams died under a stream in a row it is a killer or out
+    # of luck; either way another prompt is not worth another engine.
+    max_deaths: int = 3
     # One request may not knock at every door of a large fleet.
     max_rejections: int = 4
 
@@ -89,12 +93,14 @@
     deadline_ms: float
     options: StreamOptions = field(default_factory=StreamOptions)
     inherited: CopySource | None = None
+    is_blocked: Callable[[], bool] = lambda: False
     last_event: int = 0
     attempt: Attempt | None = None
     is_over: bool = False
     n_sent: int = 0
     n_rejected: int = 0
     n_lost: int = 0
+    n_deaths: int = 0
     _tried: set[Incarnation] = field(default_factory=set)
     _tried_again: set[Incarnation] = field(default_factory=set)
 
@@ -132,6 +138,7 @@
         if event_id != self.last_event + 1:
             return False
         self.last_event = event_id
+        self.n_deaths = 0
         return True
 
     def is_gap(self, number: int, event_id: int) -> bool:
@@ -161,6 +168,10 @@
         self.n_lost += 1
         return self._go_on(attempt, fault, now_ms)
 
+    def upstream_died(self) -> None:
+        """Take in that an upstream was found dead after it broke off."""
+        self.n_deaths += 1
+
     def probed(
         self, upstream: Incarnation, is_alive: bool, now_ms: float
     ) -> list[Action]:
@@ -297,6 +308,10 @@
             return self._fail(Failure.TIMED_OUT, "deadline")
         if self.n_sent >= self.route.max_attempts + self.n_lost:
             return self._fail(Failure.UNKNOWN_OUTCOME, "attempts used up")
+        if self.n_deaths >= self.options.max_deaths:
+            return self._fail(Failure.UNKNOWN_OUTCOME, "upstreams died in a row")
+        if self.is_blocked():
+            return self._fail(Failure.UNKNOWN_OUTCOME, "quarantined")
         if not self.budget.spend():
             return self._fail(Failure.UNKNOWN_OUTCOME, "retry budget spent")
         copy = self._copy_of(attempt, now_ms)
@@ -311,6 +326,8 @@
     ) -> list[Action]:
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
+        if self.n_deaths >= self.options.max_deaths:
+            return self._fail(Failure.UNKNOWN_OUTCOME, "upstreams died in a row")
         if not attempt.is_from_copy:
             self.n_rejected += 1
         if self.n_rejected > self.options.max_rejections:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -188,6 +188,29 @@
         self.assertEqual(driver.asked[-1].reason, "retry budget spent")
 
 
+class DeathTests(unittest.TestCase):
+    @params((2, Send), (3, Fail))
+    def test_three_deaths_in_a_row_end_a_stream(self, n_deaths, expected):
+        driver = Driver()
+        driver.start()
+        for _ in range(n_deaths):
+            driver.run.upstream_died()
+        self.assertIsInstance(driver.lose(1, Fault.SILENT)[-1], expected)
+
+    def test_events_between_deaths_show_that_it_is_no_killer(self):
+        driver = Driver()
+        driver.start()
+        for number in range(1, 5):
+            driver.events(number, 2)
+            driver.run.upstream_died()
+            self.assertIsInstance(driver.lose(number)[-1], Send)
+
+    def test_a_quarantined_stream_is_not_sent_again(self):
+        driver = Driver(is_blocked=lambda: True)
+        driver.start()
+        self.assertEqual(driver.lose(1)[-1].reason, "quarantined")
+
+
 class SilenceTests(unittest.TestCase):
     def test_a_silent_upstream_is_asked_then_left_within_the_gap(self):
         driver = Driver()
