Explain failed requests from logs; bound the log; serve metrics

Lines of a request are held until it is known whether it met trouble; troubled ones go first, each kind has a share, and a reader that stops blocks nothing. bronzeline explain log ID and explain failures read the routers' logs.

--- a/packages/daemon/bronzeline_daemon/forwarding/command.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/command.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import signal
+import sys
 from pathlib import Path
 
 import click
 
 from bronzeline_daemon.clock import BootClock
 from bronzeline_daemon.forwarding.router import ForwardingRouter
+from bronzeline_daemon.log_writer import BoundedHandler
 from bronzeline_daemon.logs import configure_logs, log_event
 from bronzeline_kernel.config import LogSettings
 from bronzeline_kernel.exceptions import SettingsError
@@ -23,18 +25,28 @@
 SETTINGS_POLL_S = 2.0
 
 
-def run_forwarding(path: Path, registry: PluginRegistry, check: bool) -> None:
+def run_forwarding(
+    path: Path,
+    registry: PluginRegistry,
+    check: bool,
+    metrics_port: int | None = None,
+) -> None:
     """Check a platform's settings and run; raises `SettingsError`."""
     settings = registry.create("forwarding_settings", path.suffix, path=path)
     if check:
         click.echo(f"{path}: settings are valid")
         return
-    configure_logs(LogSettings())
-    asyncio.run(_run(path, settings, registry))
+    handler = BoundedHandler(sys.stdout.fileno())
+    configure_logs(LogSettings(), handler)
+    asyncio.run(_run(path, settings, registry, metrics_port))
+    handler.close()
 
 
 async def _run(
-    path: Path, settings: ForwardingSettings, registry: PluginRegistry
+    path: Path,
+    settings: ForwardingSettings,
+    registry: PluginRegistry,
+    metrics_port: int | None,
 ) -> None:
     clock = BootClock()
     router = ForwardingRouter(
@@ -45,6 +57,7 @@
         registry.create("wire_format", settings.platform),
         registry.create("run_copier", settings.platform, clock=clock),
         clock,
+        metrics_port,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, router.begin_stop)
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/metrics.py
@@ -0,0 +1,116 @@
+"""Count and time what a forwarding router does."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+__all__ = ["ForwardingMetrics", "MetricsServer"]
+
+MS_PER_S = 1_000.0
+DURATION_BUCKETS_S = (0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.5, 10.0, 25.0)
+GAP_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 2.0, 5.0)
+
+
+class ForwardingMetrics:
+    """Hold one router's metrics; every label has few values."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = self._histogram(
+            "request", "A whole request.", DURATION_BUCKETS_S, "kind", "outcome"
+        )
+        self._first_event = self._histogram(
+            "first_event", "Until a stream's first event.", DURATION_BUCKETS_S
+        )
+        self._longest_gap = self._histogram(
+            "longest_gap", "The longest gap of a stream.", GAP_BUCKETS_S
+        )
+        self._refused = self._counter("refused", "Requests refused.", "refusal")
+        self._lost = self._counter("attempts_lost", "Attempts that failed.", "fault")
+        self._sent = self._counter("attempts", "Attempts sent.", "way")
+        self._store_calls = self._counter(
+            "store_calls", "Calls to the store.", "kind", "outcome"
+        )
+        ProcessCollector(registry=self.registry)
+
+    def request_ended(self, kind: str, outcome: str, duration_ms: float) -> None:
+        """Time a request by its kind of work and outcome."""
+        self._requests.labels(kind, outcome).observe(duration_ms / MS_PER_S)
+
+    def stream_ended(self, first_event_ms: float, longest_gap_ms: float) -> None:
+        """Time a stream that gave events."""
+        self._first_event.observe(first_event_ms / MS_PER_S)
+        self._longest_gap.observe(longest_gap_ms / MS_PER_S)
+
+    def request_refused(self, refusal: str) -> None:
+        """Count a request that was not forwarded."""
+        self._refused.labels(refusal).inc()
+
+    def attempt_sent(self, way: str) -> None:
+        """Count an attempt: first, again from the prompt, or from a copy."""
+        self._sent.labels(way).inc()
+
+    def attempt_lost(self, fault: str) -> None:
+        """Count an attempt that failed."""
+        self._lost.labels(fault).inc()
+
+    def store_called(self, kind: str, outcome: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.labels(kind, outcome).inc()
+
+    def gauge(self, name: str, documentation: str, read: Callable[[], float]) -> None:
+        """Expose a value that is read whenever the metrics are."""
+        gauge = Gauge(f"bronzeline_{name}", documentation, registry=self.registry)
+        gauge.set_function(read)
+
+    def expose(self) -> bytes:
+        """Return every metric in the text format."""
+        return generate_latest(self.registry)
+
+    def _histogram(
+        self, name: str, text: str, buckets_s: tuple[float, ...], *labels: str
+    ) -> Histogram:
+        return Histogram(
+            f"bronzeline_{name}_seconds",
+            text,
+            labels,
+            registry=self.registry,
+            buckets=buckets_s,
+        )
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"bronzeline_{name}", text, labels, registry=self.registry)
+
+
+class MetricsServer(HTTPServer):
+    """Answer every request with the metrics."""
+
+    def initialize(self, metrics: ForwardingMetrics) -> None:  # type: ignore[override]
+        """Serve a router's metrics."""
+        self._metrics = metrics
+        super().initialize(self._answer)
+
+    def _answer(self, request: HTTPServerRequest) -> None:
+        body = self._metrics.expose()
+        connection = request.connection
+        assert connection is not None
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "text/plain; version=0.0.4",
+                "Content-Length": str(len(body)),
+            }
+        )
+        start_line = ResponseStartLine("HTTP/1.1", 200, "OK")
+        connection.write_headers(start_line, headers, body)
+        connection.finish()
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -11,9 +11,10 @@
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
 from bronzeline_daemon.forwarding.copies import Copies
+from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
-from bronzeline_daemon.logs import log_event
+from bronzeline_daemon.log_limits import LogLimiter, RequestLog
 from bronzeline_kernel.forwarding import (
     Abandon,
     Action,
@@ -44,6 +45,9 @@
     Failure.UNKNOWN_OUTCOME: 502,
     Failure.TIMED_OUT: 504,
 }
+SERVED = "served"
+CALLER_LEFT = "caller_left"
+GOOD_OUTCOMES = frozenset({SERVED, CALLER_LEFT})
 # A timer that fires this late shows that the process stood still.
 STALL_MS = 150.0
 
@@ -70,7 +74,6 @@
 class RequestReport:
     """Hold what became of a request."""
 
-    request_id: str
     outcome: str
     reason: str
     upstream_id: str
@@ -92,7 +95,8 @@
     copies: Copies
     peers: ForwardingPeers
     killers: KillerGuard
-    report: Callable[[RequestReport], None]
+    logs: LogLimiter
+    metrics: ForwardingMetrics
 
 
 class Relay:
@@ -118,16 +122,19 @@
         self._started_at_ms = parts.clock.now_ms()
         self._upstream_id = ""
         self._hash = request_hash(request)
+        self._log = RequestLog(parts.logs, request.request_id)
         self.first_event_ms = 0.0
         self.longest_gap_ms = 0.0
         self._event_at_ms = 0.0
+        self._on_end: Callable[[RequestReport], None] = _ignore
         self._timer: asyncio.TimerHandle | None = None
         self._listener = AttemptListener(
             self.take_head, self.take_data, self.take_end, self._take_lost
         )
 
-    def start(self) -> None:
-        """Begin with the first attempt."""
+    def start(self, on_end: Callable[[RequestReport], None]) -> None:
+        """Begin with the first attempt, and call back at the end."""
+        self._on_end = on_end
         self.answer.on_gone(self._caller_left)
         self._arm()
         self.perform(self._machine.start(self.now_ms()))
@@ -153,7 +160,7 @@
                 case Finish(number):
                     self.finish(number)
                     self.parts.killers.ran_well(self._hash)
-                    self._report("served", "")
+                    self._report(SERVED, "")
                 case Fail():
                     self._fail(action)
 
@@ -218,9 +225,9 @@
             self.now_ms(),
         )
         self._attempts[action.number] = attempt
-        log_event(
+        self.parts.metrics.attempt_sent(_way(action))
+        self._log.note(
             "attempt_sent",
-            request_id=self.request.request_id,
             number=action.number,
             upstream_id=action.upstream.upstream_id,
             budget_ms=round(action.budget_ms),
@@ -234,9 +241,8 @@
         attempt = self._attempts.get(number)
         if attempt is not None:
             attempt.abandon()
-            log_event(
+            self._log.trouble(
                 "attempt_abandoned",
-                request_id=self.request.request_id,
                 number=number,
                 upstream_id=attempt.send.upstream.upstream_id,
                 after_ms=round(self.now_ms() - self._started_at_ms),
@@ -248,9 +254,9 @@
 
     def note_lost(self, number: int, fault: Fault) -> None:
         """Log that an attempt failed."""
-        log_event(
+        self.parts.metrics.attempt_lost(fault.value)
+        self._log.trouble(
             "attempt_lost",
-            request_id=self.request.request_id,
             number=number,
             fault=fault.value,
             upstream_id=self._upstream_id,
@@ -291,7 +297,7 @@
 
     def _caller_left(self) -> None:
         self.perform(self._machine.cancel())
-        self._report("caller_left", "")
+        self._report(CALLER_LEFT, "")
 
     def _arm(self) -> None:
         loop = asyncio.get_running_loop()
@@ -313,20 +319,44 @@
         if self._timer is not None:
             self._timer.cancel()
         self.after_end()
-        duration_ms = self.now_ms() - self._started_at_ms
-        self.parts.report(
-            RequestReport(
-                self.request.request_id,
-                outcome,
-                reason,
-                self._upstream_id,
-                len(self._attempts),
-                duration_ms,
-                self.first_event_ms,
-                self.longest_gap_ms,
-            )
+        report = RequestReport(
+            outcome,
+            reason,
+            self._upstream_id,
+            len(self._attempts),
+            self.now_ms() - self._started_at_ms,
+            self.first_event_ms,
+            self.longest_gap_ms,
         )
+        self._log_end(report)
+        self._on_end(report)
+
+    def _log_end(self, report: RequestReport) -> None:
+        fields = {
+            "outcome": report.outcome,
+            "reason": report.reason,
+            "upstream_id": report.upstream_id,
+            "n_attempts": report.n_attempts,
+            "duration_ms": round(report.duration_ms),
+            "first_event_ms": round(report.first_event_ms),
+            "longest_gap_ms": round(report.longest_gap_ms),
+        }
+        if report.outcome in GOOD_OUTCOMES:
+            self._log.note("request_ended", **fields)
+        else:
+            self._log.trouble("request_ended", **fields)
+        self._log.end()
 
 
 def _name(upstream: ListedUpstream | None) -> str:
     return upstream.upstream_id if upstream else ""
+
+
+def _way(action: Send) -> str:
+    if action.copy_from is not None:
+        return "copy"
+    return "first" if action.number == 1 else "prompt"
+
+
+def _ignore(report: RequestReport) -> None:
+    """Take a report before anyone asked for it."""
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -12,6 +12,7 @@
 from bronzeline_daemon.clock import BootClock
 from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
 from bronzeline_daemon.forwarding.front import Front
+from bronzeline_daemon.forwarding.metrics import MetricsServer
 from bronzeline_daemon.forwarding.service import ForwardingService
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.forwarding import (
@@ -33,6 +34,8 @@
 # Readiness ends before the lease does, so that the balancer, which asks once
 # a second and wants two misses, has moved the callers by then.
 READY_SHARE = 0.72
+# Dropped log lines are told this often, where there are any.
+DROPPED_REPORT_S = 5.0
 STOP_POLL_S = 0.05
 LISTEN_BACKLOG = 512
 
@@ -47,6 +50,7 @@
         wire: WireFormat,
         copier: RunCopier,
         clock: Clock | None = None,
+        metrics_port: int | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock or BootClock()
@@ -61,6 +65,9 @@
             store, self.view, self.clock, self.random, self.front.apply_limits
         )
         self._store = store
+        self._add_gauges()
+        self._metrics_port = metrics_port
+        self._metrics_server = MetricsServer(self.service.metrics)
         self._readiness = HTTPServer(self._answer_readiness)
         self.stopped = asyncio.Event()
 
@@ -73,6 +80,7 @@
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
         self.watch.start()
+        self._log_task = asyncio.create_task(self._report_dropped_lines())
         await self.service.peers.start()
         for server, address in (
             (self._readiness, self.settings.readiness),
@@ -80,6 +88,9 @@
         ):
             sockets = bind_sockets(address.port, address.host, backlog=LISTEN_BACKLOG)
             server.add_sockets(sockets)
+        if self._metrics_port is not None:
+            host = self.settings.callers.host
+            self._metrics_server.add_sockets(bind_sockets(self._metrics_port, host))
         log_event("started", router=self.settings.router_id)
 
     def take_settings(self, settings: ForwardingSettings) -> None:
@@ -99,6 +110,11 @@
         log_event("stopping", n_running=self.service.n_running)
         self._stop_task = asyncio.create_task(self._finish(plan))
 
+    async def _report_dropped_lines(self) -> None:
+        while True:
+            await asyncio.sleep(DROPPED_REPORT_S)
+            self.service.report_dropped_lines()
+
     async def _finish(self, plan: StopPlan) -> None:
         while self.clock.now_ms() < plan.ends_at_ms:
             is_idle = not self.service.n_running
@@ -106,12 +122,33 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
         log_event("stopped", n_cut=self.service.n_running)
+        self._log_task.cancel()
         self.watch.stop()
         self.service.peers.stop()
         self.front.server.stop()
         self._store.close()
         self.stopped.set()
 
+    def _add_gauges(self) -> None:
+        metrics, view = self.service.metrics, self.view
+        for name, text, read in (
+            ("running", "Requests that run.", lambda: self.service.n_running),
+            ("configuration_version", "In force.", lambda: view.version),
+            (
+                "lease_age_ms",
+                "Age of the proof that keys are current.",
+                lambda: view.lease.age_ms(self.clock.now_ms()),
+            ),
+            ("upstreams", "Listed upstreams.", lambda: len(view.upstreams)),
+            (
+                "channels_opened",
+                "New channels to upstreams.",
+                lambda: self.service.channels.n_opened,
+            ),
+            ("ready", "1 when callers may come.", lambda: float(self.is_ready)),
+        ):
+            metrics.gauge(name, text, read)
+
     def _answer_readiness(self, request: HTTPServerRequest) -> None:
         status, reason = (200, "OK") if self.is_ready else (503, "Not Ready")
         connection = request.connection
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -9,11 +9,12 @@
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
 from bronzeline_daemon.forwarding.copies import Copies
+from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
-from bronzeline_daemon.forwarding.relay import RelayParts, RequestReport
+from bronzeline_daemon.forwarding.relay import Relay, RelayParts, RequestReport
 from bronzeline_daemon.forwarding.stream_relay import StreamRelay
-from bronzeline_daemon.logs import log_event
+from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.admission import RetryBudget
 from bronzeline_kernel.forwarding import (
     Admitted,
@@ -86,6 +87,8 @@
         self._budgets: dict[str, RetryBudget] = {}
         self.n_running = 0
         self.stop_plan: StopPlan | None = None
+        self.metrics = ForwardingMetrics()
+        self._logs = LogLimiter(clock)
         self._parts = RelayParts(
             clock,
             self.channels,
@@ -94,7 +97,8 @@
             Copies(copier),
             self.peers,
             self._killers,
-            self._take_report,
+            self._logs,
+            self.metrics,
         )
 
     def limits(self) -> CallerLimits:
@@ -122,7 +126,8 @@
         if refused.retry_after_ms:
             headers = self._wire.refusal_headers(refused.retry_after_ms)
         answer.send(STATUS_OF_REFUSAL[refused.refusal], headers)
-        log_event(
+        self.metrics.request_refused(refused.refusal.value)
+        self._logs.warn(
             "request_refused",
             request_id=request.request_id,
             refusal=refused.refusal.value,
@@ -162,10 +167,15 @@
                 inherited=self._runs.take(name, now_ms),
                 is_blocked=lambda: self._is_blocked(name),
             )
-            StreamRelay(self._parts, stream, request, workspace, answer).start()
+            relay: Relay = StreamRelay(self._parts, stream, request, workspace, answer)
         else:
             call = CallRun(route, service, self.placement, budget, deadline_ms)
-            CallRelay(self._parts, call, request, workspace, answer).start()
+            relay = CallRelay(self._parts, call, request, workspace, answer)
+        relay.start(lambda report: self._take_report(route.kind, report))
+
+    def report_dropped_lines(self) -> None:
+        """Say which log lines were dropped."""
+        self._logs.report_dropped()
 
     def _is_blocked(self, name: str) -> bool:
         return self._killers.is_blocked(name, self._clock.now_ms())
@@ -178,16 +188,8 @@
             )
         return self._budgets[service]
 
-    def _take_report(self, report: RequestReport) -> None:
+    def _take_report(self, kind: WorkKind, report: RequestReport) -> None:
         self.n_running -= 1
-        log_event(
-            "request_ended",
-            request_id=report.request_id,
-            outcome=report.outcome,
-            reason=report.reason,
-            upstream_id=report.upstream_id,
-            n_attempts=report.n_attempts,
-            duration_ms=round(report.duration_ms),
-            first_event_ms=round(report.first_event_ms),
-            longest_gap_ms=round(report.longest_gap_ms),
-        )
+        self.metrics.request_ended(kind.value, report.outcome, report.duration_ms)
+        if report.first_event_ms:
+            self.metrics.stream_ended(report.first_event_ms, report.longest_gap_ms)
--- a/packages/daemon/bronzeline_daemon/logs.py
+++ b/packages/daemon/bronzeline_daemon/logs.py
@@ -6,6 +6,7 @@
 import logging
 import re
 import sys
+from collections.abc import Mapping
 from types import TracebackType
 from typing import Any
 
@@ -22,6 +23,8 @@
     "log_decision",
     "log_event",
     "log_exception",
+    "make_record",
+    "write_record",
 ]
 
 LOGGER = logging.getLogger("bronzeline")
@@ -50,11 +53,13 @@
         )
 
 
-def configure_logs(settings: LogSettings) -> None:
-    """Send events to standard error in the chosen format."""
+def configure_logs(
+    settings: LogSettings, handler: logging.Handler | None = None
+) -> None:
+    """Send events to a handler, or to standard error, in the chosen format."""
     kinds = {"key_value": KeyValueFormatter, "json": JsonFormatter}
     formatter = kinds[settings.format](FIELDS, rename_fields=RENAMED_FIELDS)
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(formatter)
     for logger in (LOGGER, *map(logging.getLogger, LIBRARY_LOGGERS)):
         logger.handlers = [handler]
@@ -67,6 +72,21 @@
     LOGGER.info(event, extra=_safe(fields))
 
 
+def make_record(
+    level: int, event: str, fields: Mapping[str, object]
+) -> logging.LogRecord:
+    """Return a line with the time of now, to be written later or never."""
+    return LOGGER.makeRecord(
+        LOGGER.name, level, "", 0, event, (), None, extra=_safe(fields)
+    )
+
+
+def write_record(record: logging.LogRecord) -> None:
+    """Write a line that was made before."""
+    if LOGGER.isEnabledFor(record.levelno):
+        LOGGER.handle(record)
+
+
 def log_debug(event: str, **fields: object) -> None:
     """Log one event of the routine with its fields."""
     if LOGGER.isEnabledFor(logging.DEBUG):
@@ -101,7 +121,7 @@
     return text if BARE_VALUE.fullmatch(text) else json.dumps(text)
 
 
-def _safe(fields: dict[str, object]) -> dict[str, object]:
+def _safe(fields: Mapping[str, object]) -> dict[str, object]:
     """Keep fields from taking the place of a log record's own."""
     return {
         f"{name}_" if name in RESERVED_NAMES else name: value
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/tests/log_writer_tests.py
@@ -0,0 +1,82 @@
+import asyncio
+import contextlib
+import logging
+import os
+import time
+import unittest
+
+from bronzeline_daemon.log_writer import BoundedHandler
+
+
+def record(text, level=logging.INFO):
+    return logging.LogRecord("test", level, "", 0, text, (), None)
+
+
+class Pipe:
+    """Hold a pipe whose reader reads when it is told to."""
+
+    def __enter__(self):
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        return self
+
+    def __exit__(self, *failure):
+        for fd in (self.reader, self.writer):
+            with contextlib.suppress(OSError):
+                os.close(fd)
+
+    def read(self):
+        found = b""
+        while True:
+            try:
+                chunk = os.read(self.reader, 65_536)
+            except BlockingIOError:
+                return found.decode()
+            if not chunk:
+                return found.decode()
+            found += chunk
+
+
+class BoundedHandlerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_reader_that_stops_never_blocks(self):
+        with Pipe() as pipe:
+            handler = BoundedHandler(pipe.writer, max_waiting_bytes=50_000)
+            began_s = time.monotonic()
+            for number in range(20_000):
+                handler.emit(record(f"line {number} {'x' * 80}"))
+            self.assertLess(time.monotonic() - began_s, 5.0)
+            self.assertGreater(handler.n_dropped, 0)
+            text = ""
+            for _ in range(20):
+                text += pipe.read()
+                await asyncio.sleep(0.01)
+            lines = text.splitlines()
+            numbers = [int(line.split()[1]) for line in lines]
+            self.assertEqual(numbers, sorted(numbers))
+            self.assertEqual(numbers[-1], 19_999)
+            self.assertEqual(len(lines) + handler.n_dropped, 20_000)
+            handler.close()
+
+    async def test_warnings_outlive_routine_lines(self):
+        with Pipe() as pipe:
+            handler = BoundedHandler(pipe.writer, max_waiting_bytes=20_000)
+            handler.emit(record("x" * 200_000))
+            for number in range(50):
+                handler.emit(record(f"warning {number}", logging.WARNING))
+            for _ in range(2_000):
+                handler.emit(record("routine " + "y" * 50))
+            text = ""
+            for _ in range(50):
+                text += pipe.read()
+                await asyncio.sleep(0.01)
+            warnings = [line for line in text.splitlines() if "warning" in line]
+            self.assertEqual(len(warnings), 50)
+            handler.close()
+
+    async def test_a_reader_that_is_gone_ends_nothing(self):
+        with Pipe() as pipe:
+            handler = BoundedHandler(pipe.writer)
+            os.close(pipe.reader)
+            handler.emit(record("nobody reads this"))
+            self.assertEqual(handler.n_dropped, 1)
+            handler.close()
--- a/packages/kernel/bronzeline_kernel/story/__init__.py
+++ b/packages/kernel/bronzeline_kernel/story/__init__.py
@@ -2,6 +2,13 @@
 
 from bronzeline_kernel.story.archive import StoryArchive
 from bronzeline_kernel.story.hand_over import HandOver, SendBatch
+from bronzeline_kernel.story.log_reader import (
+    FailedRequest,
+    LogLine,
+    failed_requests,
+    read_lines,
+    story_of,
+)
 from bronzeline_kernel.story.messages import (
     DecisionBatch,
     DecisionBatchTaken,
@@ -16,7 +23,9 @@
     "ROUTINE_KINDS",
     "DecisionBatch",
     "DecisionBatchTaken",
+    "FailedRequest",
     "HandOver",
+    "LogLine",
     "NotableDecisions",
     "SendBatch",
     "StoryAnswer",
@@ -24,5 +33,8 @@
     "StoryLine",
     "StoryQuery",
     "ToldDecision",
+    "failed_requests",
+    "read_lines",
+    "story_of",
     "tell",
 ]
--- a/packages/operator/bronzeline/commands/explain.py
+++ b/packages/operator/bronzeline/commands/explain.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import asdict
-from typing import Any
+from itertools import chain
+from typing import Any, TextIO
 
 import click
 
@@ -14,6 +16,7 @@
 from bronzeline_daemon.admin.status import RouterStatus
 from bronzeline_daemon.story_service import Story
 from bronzeline_kernel.routing import UpstreamView
+from bronzeline_kernel.story import failed_requests, read_lines, story_of
 
 __all__ = ["explain"]
 
@@ -59,6 +62,37 @@
     _write_story(story)
 
 
+@explain.command("log")
+@click.argument("request_id")
+@click.argument("files", nargs=-1, type=click.File("r"))
+def explain_log(request_id: str, files: tuple[TextIO, ...]) -> None:
+    """Tell the story of REQUEST_ID from routers' logs.
+
+    FILES are the logs of any number of routers, standard input without them.
+    """
+    lines = story_of(read_lines(chain(*(files or (sys.stdin,)))), request_id)
+    if not lines:
+        raise click.ClickException(f"no line in these logs is about {request_id}")
+    for line in lines:
+        click.echo(str(line))
+
+
+@explain.command()
+@click.argument("files", nargs=-1, type=click.File("r"))
+def failures(files: tuple[TextIO, ...]) -> None:
+    """List the requests that failed or came late, with the share explained.
+
+    FILES are the logs of any number of routers, standard input without them.
+    """
+    found = failed_requests(read_lines(chain(*(files or (sys.stdin,)))))
+    for item in found:
+        cause = item.causes[-1].event.replace("_", " ") if item.causes else "-"
+        told = f"{item.request_id} {item.outcome} {item.reason or '-'} ({cause})"
+        click.echo(told)
+    n_explained = sum(item.is_explained for item in found)
+    click.echo(f"{n_explained} of {len(found)} failed requests explained")
+
+
 @explain.command()
 @click.argument("router_id")
 @output_option
