One router of a zone reads the store; its peers ask it

A router asks the peer of lowest id each 300 ms; a proof is dated by the sending of the ask less the age given, so no delay or suspend makes it younger.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -12,21 +12,23 @@
     ConfigReading,
     DirectoryStore,
     ForwardingView,
-    UpstreamChanges,
-    UpstreamListing,
+    ProofSource,
+    UpstreamChange,
 )
 from bronzeline_kernel.protocols import Clock
 
 __all__ = ["DirectoryWatch"]
 
-# A call proves the configuration current as of its sending, so a lease of
-# 5,000 ms bears two of these and the time of an answer.
-CONFIG_WAIT_MS = 1_600.0
+# A call that does not wait proves the configuration current as of now, so the
+# proof is at most this old; changes must be in force after 2,500 ms.
+CONFIG_POLL_MS = 1_000.0
 # Upstreams' changes arrive at once; the wait only bounds how long a silent
 # connection goes unnoticed, within the time allowed for leaving upstreams.
 UPSTREAM_WAIT_MS = 4_000.0
 # Changes come in groups when a zone fails: one call takes them together.
 GROUPING_MS = 120.0
+# A router whose peers read looks this often whether it must read itself.
+IDLE_S = 0.1
 RETRY_MIN_MS = 150.0
 RETRY_MAX_MS = 450.0
 
@@ -42,13 +44,16 @@
         view: ForwardingView,
         clock: Clock,
         random: Random,
+        source: ProofSource,
         on_config: OnConfig,
     ) -> None:
         self._store = store
         self._view = view
         self._clock = clock
         self._random = random
+        self._source = source
         self._on_config = on_config
+        self._is_wanted: dict[str, bool] = {}
         self._is_away: dict[str, bool] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -64,11 +69,26 @@
         for task in self._tasks:
             task.cancel()
 
+    def read_config(self) -> None:
+        """Read the configuration anew, since a peer has a newer one."""
+        self._is_wanted["config"] = True
+
+    def list_upstreams(self) -> None:
+        """List the upstreams anew, since a peer can't tell all changes."""
+        self._is_wanted["upstreams"] = True
+
     async def _run(
         self, what: str, follow: Callable[[int | None], Awaitable[int]]
     ) -> None:
         revision: int | None = None
         while True:
+            is_wanted = self._is_wanted.pop(what, False)
+            is_reading = self._source.is_reading(self._clock.now_ms())
+            if revision is not None and not is_wanted and not is_reading:
+                await asyncio.sleep(IDLE_S)
+                continue
+            if is_wanted:
+                revision = None
             try:
                 revision = await follow(revision)
             except HistoryLostError:
@@ -86,12 +106,20 @@
         if revision is None:
             reading = await self._store.read_config()
         else:
-            reading = await self._store.watch_config(revision, CONFIG_WAIT_MS)
+            reading = await self._store.watch_config(revision, 0.0)
         self._take_config(reading)
         if self._view.table is not None:
             self._view.lease.prove(sent_at_ms)
+        wait_ms = sent_at_ms + CONFIG_POLL_MS - self._clock.now_ms()
+        await self._pause("config", wait_ms)
         return reading.revision
 
+    async def _pause(self, what: str, wait_ms: float) -> None:
+        """Wait, unless a peer tells of something newer."""
+        until_ms = self._clock.now_ms() + wait_ms
+        while self._clock.now_ms() < until_ms and not self._is_wanted.get(what):
+            await asyncio.sleep(IDLE_S)
+
     def _take_config(self, reading: ConfigReading) -> None:
         if reading.config is None:
             return
@@ -108,36 +136,31 @@
     async def _follow_upstreams(self, revision: int | None) -> int:
         if revision is None:
             listing = await self._store.list_upstreams()
-            self._take_listing(listing)
+            self._view.take_listing(listing, self._clock.now_ms())
+            log_event(
+                "upstreams_listed",
+                n_upstreams=len(listing.upstreams),
+                revision=listing.revision,
+            )
             return listing.revision
-        changes = await self._store.watch_upstreams(revision, UPSTREAM_WAIT_MS)
-        self._take_changes(changes)
+        # A peer may have told of later changes meanwhile.
+        known = max(revision, self._view.changes.revision)
+        changes = await self._store.watch_upstreams(known, UPSTREAM_WAIT_MS)
+        self.take_changes(changes.changes, changes.revision)
         if changes.changes:
             await asyncio.sleep(GROUPING_MS / 1000.0)
         return changes.revision
 
-    def _take_listing(self, listing: UpstreamListing) -> None:
-        now_ms = self._clock.now_ms()
-        self._view.upstreams.replace_all(listing.upstreams, now_ms)
-        log_event(
-            "upstreams_listed",
-            n_upstreams=len(listing.upstreams),
-            revision=listing.revision,
-        )
-
-    def _take_changes(self, changes: UpstreamChanges) -> None:
-        now_ms = self._clock.now_ms()
-        for change in changes.changes:
+    def take_changes(self, changes: tuple[UpstreamChange, ...], revision: int) -> None:
+        """Take changes of upstreams, from the store or from a peer."""
+        self._view.take_changes(changes, revision, self._clock.now_ms())
+        for change in changes:
             entry = change.entry
-            if entry is None:
-                self._view.upstreams.remove(change.upstream_id, now_ms)
-            else:
-                self._view.upstreams.put(entry)
             log_event(
                 "upstream_changed",
                 upstream_id=change.upstream_id,
                 state="gone" if entry is None else _state(entry.is_leaving),
-                revision=changes.revision,
+                revision=revision,
             )
 
     def _note_away(self, what: str, error: str) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any, cast
 
@@ -17,6 +17,9 @@
     KillerGuard,
     LoadReport,
     Placement,
+    ProofAsk,
+    ProofAsked,
+    ProofGiven,
     RouterEntry,
     RunDirectory,
     RunEnded,
@@ -29,7 +32,7 @@
 
 # A stale list is read at a tenth of a call's price; a new router is known
 # after this long.
-LIST_EVERY_S = 2.0
+LIST_EVERY_S = 4.0
 RETRY_S = 0.5
 # Load changes with every prompt, which takes a second and more; a change is
 # told everywhere, since a report of 100 bytes costs less than a prompt that
@@ -40,6 +43,16 @@
 # at most.
 ZONE_LOST_EVERY_MS = 400.0
 
+MESSAGE_TYPES = (
+    EngineLost,
+    LoadReport,
+    ProofAsked,
+    ProofGiven,
+    RunEnded,
+    RunRecord,
+    ZoneLost,
+)
+
 Zone = tuple[str, str]
 
 
@@ -73,12 +86,14 @@
         self._clock = clock
         self._random = random
         self._codec = MessageCodec()
-        for message_type in (EngineLost, LoadReport, RunEnded, RunRecord, ZoneLost):
+        for message_type in MESSAGE_TYPES:
             self._codec.register(message_type)
         self._peers: tuple[RouterEntry, ...] = ()
         self._transport: asyncio.DatagramTransport | None = None
         self._zone_told_at_ms: dict[Zone, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self.on_proof_asked: Callable[[ProofAsked, RouterEntry], None] = _ignore_ask
+        self.on_proof_given: Callable[[ProofGiven], None] = _ignore_proof
         placement.health.on_zone_failed = self._tell_zone_lost
 
     async def start(self) -> None:
@@ -106,6 +121,21 @@
         """Tell the peers that a run ended."""
         self._send(RunEnded(request_hash), self._in_zone())
 
+    def ids_in_zone(self) -> list[str]:
+        """List the peers of the own zone."""
+        return [item.router_id for item in self._in_zone()]
+
+    def ask_proof(self, ask: ProofAsk, upstream_revision: int) -> None:
+        """Ask a peer how current it is."""
+        peer = self._peer(ask.router_id)
+        if peer is not None:
+            own_id = self._own.router_id
+            self.send_to(ProofAsked(own_id, ask.number, upstream_revision), peer)
+
+    def send_to(self, message: object, peer: RouterEntry) -> None:
+        """Send a message to one peer."""
+        self._send(message, (peer,))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket to send on."""
         self._transport = cast(asyncio.DatagramTransport, transport)
@@ -125,6 +155,12 @@
                 self._runs.remove(request_hash)
             case ZoneLost(service, zone):
                 self._placement.health.peer_lost_zone((service, zone), now_ms)
+            case ProofAsked(router_id):
+                peer = self._peer(router_id)
+                if peer is not None:
+                    self.on_proof_asked(message, peer)
+            case ProofGiven():
+                self.on_proof_given(message)
             case EngineLost():
                 self._killers.engine_lost(message, now_ms, is_own=False)
             case LoadReport(router_id, prompts, streams):
@@ -141,6 +177,9 @@
             self._zone_told_at_ms[zone] = now_ms
             self._send(ZoneLost(*zone), self._peers)
 
+    def _peer(self, router_id: str) -> RouterEntry | None:
+        return next((x for x in self._peers if x.router_id == router_id), None)
+
     def _in_zone(self) -> Iterable[RouterEntry]:
         zone = self._own.availability_zone
         return (item for item in self._peers if item.availability_zone == zone)
@@ -186,3 +225,11 @@
                 continue
             report = LoadReport(self._own.router_id, *load)
             self._send(report, self._peers if has_new_prompts else self._in_zone())
+
+
+def _ignore_ask(asked: ProofAsked, peer: RouterEntry) -> None:
+    """Take an ask before anyone answers them."""
+
+
+def _ignore_proof(given: ProofGiven) -> None:
+    """Take an answer before anyone asked."""
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -0,0 +1,106 @@
+"""Pass proofs of freshness and changes of upstreams between peers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
+from bronzeline_daemon.forwarding.peers import ForwardingPeers
+from bronzeline_daemon.logs import log_event
+from bronzeline_kernel.forwarding import (
+    ForwardingView,
+    ProofAsked,
+    ProofGiven,
+    ProofSource,
+    RouterEntry,
+)
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["ProofExchange"]
+
+TICK_S = 0.1
+# An entry takes 120 bytes, and a datagram should fit into one packet.
+MAX_CHANGES_AT_ONCE = 8
+
+
+class ProofExchange:
+    """Ask peers for proofs and answer theirs."""
+
+    def __init__(
+        self,
+        view: ForwardingView,
+        source: ProofSource,
+        watch: DirectoryWatch,
+        peers: ForwardingPeers,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._source = source
+        self._watch = watch
+        self._peers = peers
+        self._clock = clock
+        self._was_reading = True
+        peers.on_proof_asked = self._answer
+        peers.on_proof_given = self._take
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """Stop asking."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_ms = self._clock.now_ms()
+            self._source.take_peers(self._peers.ids_in_zone())
+            ask = self._source.next_ask(now_ms)
+            if ask is not None:
+                revision = self._view.changes.revision
+                self._peers.ask_proof(ask, revision)
+            self._note_role(now_ms)
+
+    def _note_role(self, now_ms: float) -> None:
+        is_reading = self._source.is_reading(now_ms)
+        if is_reading != self._was_reading:
+            log_event("reads_store" if is_reading else "follows_peer")
+        self._was_reading = is_reading
+
+    def _answer(self, asked: ProofAsked, peer: RouterEntry) -> None:
+        now_ms = self._clock.now_ms()
+        if self._view.table is None or not self._view.upstreams.is_loaded:
+            return
+        changes = self._view.changes.since(asked.upstream_revision)
+        revision = self._view.changes.revision
+        if changes is not None and len(changes) > MAX_CHANGES_AT_ONCE:
+            changes = None
+        given = ProofGiven(
+            asked.number,
+            self._view.version,
+            self._view.lease.age_ms(now_ms),
+            revision,
+            changes,
+            self._view.upstreams.away_until_ms_ago(now_ms),
+        )
+        self._peers.send_to(given, peer)
+
+    def _take(self, given: ProofGiven) -> None:
+        now_ms = self._clock.now_ms()
+        proven_at_ms = self._source.take(given.number, given.age_ms, now_ms)
+        if proven_at_ms is None:
+            return
+        if given.config_version > self._view.version:
+            self._watch.read_config()
+        elif given.config_version == self._view.version:
+            self._view.lease.prove(proven_at_ms)
+        if given.away_until_ms_ago is not None:
+            back_at_ms = now_ms - given.away_until_ms_ago
+            self._view.upstreams.store_was_away(back_at_ms)
+        if given.upstream_revision <= self._view.changes.revision:
+            return
+        if given.changes is None:
+            self._watch.list_upstreams()
+        else:
+            self._watch.take_changes(given.changes, given.upstream_revision)
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -13,6 +13,7 @@
 from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
 from bronzeline_daemon.forwarding.front import Front
 from bronzeline_daemon.forwarding.metrics import MetricsServer
+from bronzeline_daemon.forwarding.proof_exchange import ProofExchange
 from bronzeline_daemon.forwarding.service import ForwardingService
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.forwarding import (
@@ -20,6 +21,7 @@
     ForwardingSettings,
     ForwardingView,
     LeaseTerms,
+    ProofSource,
     RunCopier,
     StopPlan,
     WireFormat,
@@ -61,8 +63,17 @@
             settings, self.view, wire, copier, store, self.clock, self.random
         )
         self.front = Front(wire, self.service.limits, self.service.handle)
+        self.source = ProofSource(settings.router_id)
         self.watch = DirectoryWatch(
-            store, self.view, self.clock, self.random, self.front.apply_limits
+            store,
+            self.view,
+            self.clock,
+            self.random,
+            self.source,
+            self.front.apply_limits,
+        )
+        self.proofs = ProofExchange(
+            self.view, self.source, self.watch, self.service.peers, self.clock
         )
         self._store = store
         self._add_gauges()
@@ -82,6 +93,7 @@
         self.watch.start()
         self._log_task = asyncio.create_task(self._report_dropped_lines())
         await self.service.peers.start()
+        self.proofs.start()
         for server, address in (
             (self._readiness, self.settings.readiness),
             (self.front.server, self.settings.callers),
@@ -124,6 +136,7 @@
         log_event("stopped", n_cut=self.service.n_running)
         self._log_task.cancel()
         self.watch.stop()
+        self.proofs.stop()
         self.service.peers.stop()
         self.front.server.stop()
         self._store.close()
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -7,6 +7,7 @@
     admit,
 )
 from bronzeline_kernel.forwarding.call_run import CallOptions, CallRun
+from bronzeline_kernel.forwarding.change_log import ChangeLog, UpstreamChange
 from bronzeline_kernel.forwarding.config import (
     CallerLimits,
     EngineInfo,
@@ -40,17 +41,23 @@
 )
 from bronzeline_kernel.forwarding.peer_messages import (
     LoadReport,
+    ProofAsked,
+    ProofGiven,
     RouterEntry,
     RunEnded,
     ZoneLost,
 )
 from bronzeline_kernel.forwarding.placement import Load, Placement, PlacementOptions
+from bronzeline_kernel.forwarding.proof_source import (
+    ProofAsk,
+    ProofOptions,
+    ProofSource,
+)
 from bronzeline_kernel.forwarding.protocols import (
     AnswerHead,
     ConfigReading,
     DirectoryStore,
     RunCopier,
-    UpstreamChange,
     UpstreamChanges,
     UpstreamListing,
     WireFormat,
@@ -76,6 +83,7 @@
     "CallRun",
     "CallerLimits",
     "CallerRequest",
+    "ChangeLog",
     "ConfigReading",
     "CopyRun",
     "CopySource",
@@ -101,6 +109,11 @@
     "Placement",
     "PlacementOptions",
     "Probe",
+    "ProofAsk",
+    "ProofAsked",
+    "ProofGiven",
+    "ProofOptions",
+    "ProofSource",
     "Refusal",
     "Refused",
     "Route",
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -4,9 +4,18 @@
 
 from dataclasses import dataclass
 
+from bronzeline_kernel.forwarding.change_log import UpstreamChange
 from bronzeline_kernel.forwarding.run_directory import RunRecord
 
-__all__ = ["LoadReport", "RouterEntry", "RunEnded", "RunRecord", "ZoneLost"]
+__all__ = [
+    "LoadReport",
+    "ProofAsked",
+    "ProofGiven",
+    "RouterEntry",
+    "RunEnded",
+    "RunRecord",
+    "ZoneLost",
+]
 
 
 @dataclass(frozen=True)
@@ -41,3 +50,28 @@
 
     service: str
     availability_zone: str
+
+
+@dataclass(frozen=True)
+class ProofAsked:
+    """Ask a peer how current it is, and for the changes that it has."""
+
+    router_id: str
+    number: int
+    upstream_revision: int
+
+
+@dataclass(frozen=True)
+class ProofGiven:
+    """Tell a peer how current this router is.
+
+    `changes` is None where the peer must read the list itself;
+    `away_until_ms_ago` says how long ago the store came back, if it was away.
+    """
+
+    number: int
+    config_version: int
+    age_ms: float
+    upstream_revision: int
+    changes: tuple[UpstreamChange, ...] | None
+    away_until_ms_ago: float | None
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from bronzeline_kernel.forwarding.change_log import UpstreamChange
 from bronzeline_kernel.forwarding.config import ForwardingConfig, WorkspaceKeys
 from bronzeline_kernel.forwarding.messages import CallerRequest, CopySource, Send
 from bronzeline_kernel.forwarding.peer_messages import RouterEntry
@@ -16,7 +17,6 @@
     "ConfigReading",
     "DirectoryStore",
     "RunCopier",
-    "UpstreamChange",
     "UpstreamChanges",
     "UpstreamListing",
     "WireFormat",
@@ -41,14 +41,6 @@
     revision: int
 
 
-@dataclass(frozen=True)
-class UpstreamChange:
-    """Hold one upstream's new entry, or None where it was removed."""
-
-    upstream_id: str
-    entry: ListedUpstream | None
-
-
 @dataclass(frozen=True)
 class UpstreamChanges:
     """Hold the changes since a revision, and the revision to go on from."""
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -55,6 +55,12 @@
         for upstream_id in self._removals_due_ms:
             self._removals_due_ms[upstream_id] = self._hold_until_ms
 
+    def away_until_ms_ago(self, now_ms: float) -> float | None:
+        """Return how long ago the store came back, while that still counts."""
+        if now_ms >= self._hold_until_ms:
+            return None
+        return now_ms - (self._hold_until_ms - REMOVAL_HOLD_MS)
+
     def replace_all(self, entries: Iterable[ListedUpstream], now_ms: float) -> None:
         """Take a whole list; what it lacks is removed."""
         self.is_loaded = True
--- a/packages/kernel/bronzeline_kernel/forwarding/view.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/view.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from bronzeline_kernel.forwarding.change_log import ChangeLog, UpstreamChange
 from bronzeline_kernel.forwarding.config import ForwardingConfig
 from bronzeline_kernel.forwarding.lease import FreshnessLease, LeaseTerms
+from bronzeline_kernel.forwarding.protocols import UpstreamListing
 from bronzeline_kernel.forwarding.route_table import RouteTable
 from bronzeline_kernel.forwarding.upstream_set import UpstreamSet
 
@@ -16,6 +18,7 @@
     def __init__(self, terms: LeaseTerms) -> None:
         self.lease = FreshnessLease(terms)
         self.upstreams = UpstreamSet()
+        self.changes = ChangeLog()
         self.table: RouteTable | None = None
 
     @property
@@ -30,6 +33,24 @@
         self.table = RouteTable(config)
         return True
 
+    def take_listing(self, listing: UpstreamListing, now_ms: float) -> None:
+        """Take a whole list of upstreams."""
+        self.upstreams.replace_all(listing.upstreams, now_ms)
+        self.changes.restart(listing.revision)
+
+    def take_changes(
+        self, changes: tuple[UpstreamChange, ...], revision: int, now_ms: float
+    ) -> None:
+        """Take changes of upstreams, from the store or from a peer."""
+        if revision < self.changes.revision:
+            return
+        for change in changes:
+            if change.entry is None:
+                self.upstreams.remove(change.upstream_id, now_ms)
+            else:
+                self.upstreams.put(change.entry)
+        self.changes.add(changes, revision)
+
     def is_ready(self, now_ms: float) -> bool:
         """Say whether callers may be sent here."""
         is_loaded = self.table is not None and self.upstreams.is_loaded
