--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -152,6 +152,11 @@
                 case Abandon(number):
                     self._abandon(number)
                 case Probe(upstream):
+                    self._log.note(
+                        "silence_suspected",
+                        upstream_id=upstream.upstream_id,
+                        silent_ms=self.silent_ms(),
+                    )
                     self.parts.prober.ask(upstream, self.take_probe)
                 case CopyRun():
                     self.parts.copies.make(self.request, action, self.take_copy)
@@ -198,6 +203,10 @@
     def note_stall(self) -> None:
         """Take in that this process stood still."""
 
+    def silent_ms(self) -> int:
+        """Return for how long the caller has got nothing."""
+        return round(self.now_ms() - (self._event_at_ms or self._started_at_ms))
+
     def note_event(self) -> None:
         """Time an event that goes to the caller."""
         now_ms = self.now_ms()
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -88,7 +88,7 @@
         self.n_running = 0
         self.stop_plan: StopPlan | None = None
         self.metrics = ForwardingMetrics()
-        self._logs = LogLimiter(clock)
+        self._logs = LogLimiter(clock, settings.router_id)
         self._parts = RelayParts(
             clock,
             self.channels,
--- a/packages/daemon/bronzeline_daemon/log_limits.py
+++ b/packages/daemon/bronzeline_daemon/log_limits.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from bronzeline_daemon.logs import make_record, write_record
@@ -24,6 +25,7 @@
     """Let so many lines of each kind through, and count the rest."""
 
     clock: Clock
+    router_id: str
     dropped: Counter[str] = field(default_factory=Counter)
     _buckets: dict[tuple[str, bool], TokenBucket] = field(default_factory=dict)
 
@@ -43,18 +45,24 @@
 
     def event(self, event: str, **fields: object) -> None:
         """Write a routine line."""
-        self.write(make_record(logging.INFO, event, fields))
+        self.write(self.make(logging.INFO, event, fields))
 
     def warn(self, event: str, **fields: object) -> None:
         """Write a line on something that went wrong."""
-        self.write(make_record(logging.WARNING, event, fields))
+        self.write(self.make(logging.WARNING, event, fields))
 
     def report_dropped(self) -> None:
         """Say which lines were dropped since the last report."""
         if self.dropped:
             counts = {f"n_{kind}": number for kind, number in self.dropped.items()}
             self.dropped.clear()
-            write_record(make_record(logging.WARNING, "lines_dropped", counts))
+            write_record(self.make(logging.WARNING, "lines_dropped", counts))
+
+    def make(
+        self, level: int, event: str, fields: Mapping[str, object]
+    ) -> logging.LogRecord:
+        """Return a line that names this router, with the time of now."""
+        return make_record(level, event, {"router": self.router_id, **fields})
 
 
 class RequestLog:
@@ -73,7 +81,7 @@
     def note(self, event: str, **fields: object) -> None:
         """Add a line, with the time of now."""
         known = {"request_id": self._request_id, **fields}
-        self._records.append(make_record(logging.INFO, event, known))
+        self._records.append(self._limiter.make(logging.INFO, event, known))
         if self._has_trouble:
             self._flush(logging.WARNING)
 
--- a/packages/daemon/bronzeline_daemon/tests/log_limits_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/log_limits_tests.py
@@ -25,7 +25,7 @@
 class LogLimitsTests(unittest.TestCase):
     def setUp(self):
         self.clock = StepClock()
-        self.limiter = LogLimiter(self.clock)
+        self.limiter = LogLimiter(self.clock, "router-1")
         self.written = []
         patch = mock.patch.object(log_limits, "write_record", self.written.append)
         patch.start()
@@ -53,6 +53,7 @@
         self.limiter.report_dropped()
         self.assertEqual(self.events()[-1], "lines_dropped")
         self.assertEqual(self.written[-1].n_busy, 3)
+        self.assertEqual(self.written[-1].router, "router-1")
         n_written = len(self.written)
         self.limiter.report_dropped()
         self.assertEqual(len(self.written), n_written)
