--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -6,9 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tornado.iostream import IOStream
-
-from bronzeline_daemon.forwarding.channels import Channels
+from bronzeline_daemon.forwarding.channels import Channel, Channels
 from bronzeline_daemon.forwarding.exchange import Exchange, OutgoingRequest
 from bronzeline_kernel.exceptions import StreamBrokenError, UpstreamUnreachableError
 from bronzeline_kernel.forwarding import (
@@ -45,7 +43,7 @@
     listener: AttemptListener
     started_at_ms: float
     head: AnswerHead | None = None
-    _stream: IOStream | None = None
+    _stream: Channel | None = None
     _task: asyncio.Task[None] | None = field(default=None)
     _is_abandoned: bool = False
 
--- a/packages/daemon/bronzeline_daemon/forwarding/channels.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/channels.py
@@ -13,7 +13,7 @@
 from bronzeline_kernel.exceptions import UpstreamUnreachableError
 from bronzeline_kernel.protocols import Clock
 
-__all__ = ["Channels", "accepts_connection", "set_liveness_options"]
+__all__ = ["Channel", "Channels", "accepts_connection", "set_liveness_options"]
 
 Address = tuple[str, int]
 
@@ -32,11 +32,27 @@
 MAX_IDLE_PER_ADDRESS = 16
 
 
+class Channel(IOStream):
+    """Be a connection that knows whether it is quiet."""
+
+    @property
+    def is_quiet(self) -> bool:
+        """Say whether the connection is open and holds no unasked bytes.
+
+        An idle stream reads what comes, so bytes may be in its buffer already.
+        """
+        if self.closed() or self._read_buffer_size:
+            return False
+        poller = select.poll()
+        poller.register(self.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
+
 @dataclass(frozen=True)
 class IdleChannel:
     """Hold a kept connection and how long it may be used again."""
 
-    stream: IOStream
+    stream: Channel
     usable_until_ms: float
 
 
@@ -50,7 +66,7 @@
 
     async def acquire(
         self, address: Address, timeout_ms: float = CONNECT_TIMEOUT_MS
-    ) -> IOStream:
+    ) -> Channel:
         """Return a connection; raises `UpstreamUnreachableError`."""
         kept = self._take_idle(address)
         if kept is not None:
@@ -59,7 +75,7 @@
         return await connect(address, timeout_ms)
 
     def release(
-        self, address: Address, stream: IOStream, keep_alive_ms: float | None
+        self, address: Address, stream: Channel, keep_alive_ms: float | None
     ) -> None:
         """Keep a connection whose last answer was whole."""
         idle = self._idle.setdefault(address, deque())
@@ -77,12 +93,12 @@
                 channel.stream.close()
         self._idle.clear()
 
-    def _take_idle(self, address: Address) -> IOStream | None:
+    def _take_idle(self, address: Address) -> Channel | None:
         idle = self._idle.get(address)
         while idle:
             channel = idle.pop()
             is_fresh = self._clock.now_ms() < channel.usable_until_ms
-            if is_fresh and is_quiet(channel.stream):
+            if is_fresh and channel.stream.is_quiet:
                 return channel.stream
             channel.stream.close()
         return None
@@ -93,11 +109,11 @@
             idle.popleft().stream.close()
 
 
-async def connect(address: Address, timeout_ms: float) -> IOStream:
+async def connect(address: Address, timeout_ms: float) -> Channel:
     """Open a connection; raises `UpstreamUnreachableError`."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     set_liveness_options(sock)
-    stream = IOStream(sock)
+    stream = Channel(sock)
     try:
         await asyncio.wait_for(stream.connect(address), timeout_ms / 1000.0)
     except (StreamClosedError, OSError, TimeoutError) as error:
@@ -131,12 +147,3 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-def is_quiet(stream: IOStream) -> bool:
-    """Say whether an idle connection is open and holds no unasked bytes."""
-    if stream.closed():
-        return False
-    poller = select.poll()
-    poller.register(stream.fileno(), select.POLLIN)
-    return not poller.poll(0)
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/event_splitter_tests.py
@@ -0,0 +1,25 @@
+import itertools
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bronzeline_daemon.forwarding.event_splitter import EventSplitter
+
+EVENTS = [f"id: {number}\ndata: x{number}\n\n".encode() for number in range(1, 6)]
+
+
+class EventSplitterTests(unittest.TestCase):
+    @given(st.lists(st.integers(0, 100), max_size=8))
+    def test_events_come_whole_however_the_bytes_are_cut(self, cuts):
+        data, splitter, found = b"".join(EVENTS), EventSplitter(), []
+        places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+        for start, end in itertools.pairwise(places):
+            found += splitter.feed(data[start:end])
+        self.assertEqual(found, EVENTS)
+        self.assertFalse(splitter.has_rest)
+
+    def test_an_event_that_was_cut_off_is_kept_back(self):
+        splitter = EventSplitter()
+        self.assertEqual(list(splitter.feed(EVENTS[0] + b"id: 2\nda")), EVENTS[:1])
+        self.assertTrue(splitter.has_rest)
