--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -25,14 +25,17 @@
 # Upstreams' changes arrive at once; the wait only bounds how long a silent
 # connection goes unnoticed, within the time allowed for leaving upstreams.
 UPSTREAM_WAIT_MS = 4_000.0
-# Changes come in groups when a zone fails: one call takes them together.
-GROUPING_MS = 120.0
+# Changes come in groups when a zone fails or all start: one call takes them
+# together. A leaving upstream must get nothing new after 2,500 ms.
+GROUPING_MS = 300.0
 # A router whose peers read looks this often whether it must read itself.
 IDLE_S = 0.1
 RETRY_MIN_MS = 150.0
 RETRY_MAX_MS = 450.0
 
 OnConfig = Callable[[], None]
+# Takes what was asked for and how the call ended.
+OnCall = Callable[[str, str], None]
 
 
 class DirectoryWatch:
@@ -46,6 +49,7 @@
         random: Random,
         source: ProofSource,
         on_config: OnConfig,
+        on_call: OnCall,
     ) -> None:
         self._store = store
         self._view = view
@@ -53,6 +57,7 @@
         self._random = random
         self._source = source
         self._on_config = on_config
+        self._on_call = on_call
         self._is_wanted: dict[str, bool] = {}
         self._is_away: dict[str, bool] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -92,13 +97,16 @@
             try:
                 revision = await follow(revision)
             except HistoryLostError:
+                self._on_call(what, "history_lost")
                 log_event("history_lost", what=what, revision=revision)
                 revision = None
             except StoreUnavailableError as error:
+                self._on_call(what, "unavailable")
                 self._note_away(what, str(error))
                 wait_ms = self._random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
                 await asyncio.sleep(wait_ms / 1000.0)
             else:
+                self._on_call(what, "answered")
                 self._note_back(what)
 
     async def _follow_config(self, revision: int | None) -> int:
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -31,7 +31,9 @@
 __all__ = ["ForwardingPeers"]
 
 # A stale list is read at a tenth of a call's price; a new router is known
-# after this long.
+# after this long. When all start together, each reads the store itself until
+# it knows its peers, so the first lists follow each other closely.
+FIRST_LISTS_S = (0.3, 0.5, 1.0, 2.0)
 LIST_EVERY_S = 4.0
 RETRY_S = 0.5
 # Load changes with every prompt, which takes a second and more; a change is
@@ -193,6 +195,7 @@
 
     async def _find_peers(self) -> None:
         is_announced = False
+        pauses_s = iter(FIRST_LISTS_S)
         while True:
             try:
                 if not is_announced:
@@ -205,7 +208,8 @@
                 continue
             own_id = self._own.router_id
             self._peers = tuple(item for item in entries if item.router_id != own_id)
-            await asyncio.sleep(LIST_EVERY_S * self._random.uniform(0.8, 1.2))
+            pause_s = next(pauses_s, LIST_EVERY_S)
+            await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.2))
 
     async def _report_load(self) -> None:
         """Tell the zone of every change, and all of changes in prompts."""
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -71,6 +71,7 @@
             self.random,
             self.source,
             self.front.apply_limits,
+            self.service.metrics.store_called,
         )
         self.proofs = ProofExchange(
             self.view, self.source, self.watch, self.service.peers, self.clock
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -30,6 +30,10 @@
     zone_suspect_ms: float = 1_500.0
     # The memory of failures fades by half in this time.
     half_life_ms: float = 3_000.0
+    # So does that of slowness, which lasts for some prompts.
+    slowness_half_life_ms: float = 5_000.0
+    # How much a new measurement counts against those before.
+    slowness_weight: float = 0.6
 
 
 @dataclass
@@ -41,6 +45,8 @@
     failure_score: float = 0.0
     scored_at_ms: float = 0.0
     last_answer_at_ms: float = field(default=float("-inf"))
+    slowness: float = 0.0
+    slowness_at_ms: float = 0.0
 
 
 class UpstreamHealth:
@@ -63,6 +69,27 @@
         """Take in that the upstream accepted a connection."""
         self._record(upstream).last_answer_at_ms = now_ms
 
+    def prompt_read(
+        self, upstream: Incarnation, took_ms: float, usual_ms: float, now_ms: float
+    ) -> None:
+        """Take in how long a prompt took against what is usual."""
+        excess = max(0.0, took_ms / usual_ms - 1.0)
+        record = self._record(upstream)
+        weight = self._options.slowness_weight
+        known = self.slowness(upstream, now_ms)
+        record.slowness = weight * excess + (1.0 - weight) * known
+        record.slowness_at_ms = now_ms
+
+    def slowness(self, upstream: Incarnation, now_ms: float) -> float:
+        """Return by which share prompts take longer than usual there."""
+        record = self._records.get(upstream)
+        if record is None or not record.slowness:
+            return 0.0
+        age_ms = max(0.0, now_ms - record.slowness_at_ms)
+        return record.slowness * math.exp2(
+            -age_ms / self._options.slowness_half_life_ms
+        )
+
     def failed(self, upstream: Incarnation, now_ms: float) -> float:
         """Take in a failure; return for how long the upstream is avoided."""
         record = self._record(upstream)
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -177,8 +177,10 @@
         load = self.load(upstream.upstream_id)
         options = self.options
         n_peer_prompts, n_peer_streams = self._peers_on(upstream.upstream_id, now_ms)
+        slowness = self.health.slowness(upstream.incarnation, now_ms)
         return (
-            (load.n_prompts + n_peer_prompts) * options.prompt_ms
+            slowness * options.prompt_ms
+            + (load.n_prompts + n_peer_prompts) * options.prompt_ms
             + (load.n_streams + n_peer_streams) * options.stream_ms
             + load.n_copies * options.copy_ms
             + self._far(upstream, options.far_stream_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -51,6 +51,10 @@
     # still give the first event within the objective of 4,500 ms.
     first_event_ms: float = 3_000.0
     first_event_busy_ms: float = 9_000.0
+    # Engines read 5 tokens in a millisecond, and take 1.2 to 2.3 times as long
+    # between the steps of running streams.
+    prompt_tokens_per_ms: float = 5.0
+    usual_prompt_factor: float = 1.8
     # A connection attempt before the first event can wait: no gap is open.
     probe_prompt_again_ms: float = 600.0
     # A copy made on request is freed by its source after 4 s, well exceeded.
@@ -133,6 +137,7 @@
         attempt.progress_at_ms = now_ms
         if not attempt.has_events:
             attempt.has_events = True
+            self._note_speed(attempt, now_ms)
             self.placement.load(attempt.upstream.upstream_id).n_prompts -= 1
         self.placement.health.succeeded(attempt.upstream.incarnation, now_ms)
         if event_id != self.last_event + 1:
@@ -141,6 +146,17 @@
         self.n_deaths = 0
         return True
 
+    def _note_speed(self, attempt: Attempt, now_ms: float) -> None:
+        """Tell the health record how long the prompt took to read."""
+        options = self.options
+        prompt_ms = self.request.n_prompt_tokens / options.prompt_tokens_per_ms
+        if attempt.is_from_copy or not prompt_ms:
+            return
+        usual_ms = options.usual_prompt_factor * prompt_ms
+        took_ms = now_ms - attempt.sent_at_ms
+        incarnation = attempt.upstream.incarnation
+        self.placement.health.prompt_read(incarnation, took_ms, usual_ms, now_ms)
+
     def is_gap(self, number: int, event_id: int) -> bool:
         """Say whether an event shows that one before it is missing."""
         is_current = self.attempt is not None and self.attempt.number == number
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/health_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/health_tests.py
@@ -47,6 +47,14 @@
         is_suspect = self.health.is_zone_suspect(ZONE, ENGINE, now_ms)
         self.assertEqual(is_suspect, expected)
 
+    @params((900.0, 0.0), (1_000.0, 0.0), (3_000.0, 1.2))
+    def test_a_slow_upstream_is_known_by_its_prompts(self, took_ms, expected):
+        self.health.prompt_read(ENGINE, took_ms, 1_000.0, 0.0)
+        self.assertAlmostEqual(self.health.slowness(ENGINE, 0.0), expected)
+        half_life_ms = HealthOptions().slowness_half_life_ms
+        later = self.health.slowness(ENGINE, half_life_ms)
+        self.assertAlmostEqual(later, expected / 2.0)
+
     def test_only_own_findings_are_passed_on(self):
         told = []
         self.health.on_zone_failed = told.append
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
@@ -32,6 +32,13 @@
         chosen = self.placement.for_stream(ENGINES, now_ms)
         self.assertEqual(chosen.availability_zone != "zone-a", counts)
 
+    def test_a_slow_upstream_is_passed_over(self):
+        slow = upstream("zone-a-0").incarnation
+        self.placement.health.prompt_read(slow, 3_000.0, 1_000.0, 0.0)
+        for _ in range(20):
+            chosen = self.placement.for_stream(ENGINES, 1.0)
+            self.assertEqual(chosen.upstream_id, "zone-a-1")
+
     def test_a_peers_new_report_takes_the_place_of_the_old(self):
         self.placement.take_peer_load("peer", {"zone-a-0": 9}, {}, 0.0)
         self.placement.take_peer_load("peer", {"zone-a-1": 9}, {}, 0.0)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
@@ -1,6 +1,7 @@
 """Build small pieces of a fleet for the tests of forwarding."""
 
 from random import Random
+from zlib import crc32
 
 from bronzeline_kernel.forwarding import (
     CallerRequest,
@@ -25,7 +26,7 @@
         upstream_id=name,
         service=service,
         host="10.0.0.1",
-        port=port or 1_000 + sum(map(ord, name)),
+        port=port or 1_000 + crc32(name.encode()) % 50_000,
         availability_zone=zone,
         is_leaving=leaving,
         n_slots=8,
