--- a/packages/standins/bronzeline_standins/bench/child_process.py
+++ b/packages/standins/bronzeline_standins/bench/child_process.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from typing import ClassVar
 
 from bronzeline_kernel.exceptions import BronzelineError
 
@@ -24,6 +25,7 @@
 STOP_TIMEOUT_S = 3.0
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.02
+WAIT_OPTIONS = os.WEXITED | os.WNOHANG | os.WNOWAIT
 
 
 class ProcessError(BronzelineError):
@@ -46,10 +48,21 @@
 class ChildProcess:
     """Run one Python module as a process."""
 
+    _started: ClassVar[set[ChildProcess]] = set()
+
     def __init__(self, module: str, *arguments: str) -> None:
         self._command = [sys.executable, "-m", module, *arguments]
         self._process: asyncio.subprocess.Process | None = None
 
+    @classmethod
+    def end_all(cls) -> int:
+        """End what an experiment left running; return how many those were."""
+        left = [item for item in cls._started if item._is_running()]
+        cls._started.clear()
+        for item in left:
+            os.kill(item._running().pid, signal.SIGKILL)
+        return len(left)
+
     async def start(self, ports: Sequence[int] = ()) -> None:
         """Start, and wait until the process listens on its ports."""
         self._process = await asyncio.create_subprocess_exec(
@@ -58,6 +71,7 @@
             stderr=None,
             stdin=asyncio.subprocess.DEVNULL,
         )
+        self._started.add(self)
         for port in ports:
             await self._wait_for(port)
 
@@ -100,6 +114,17 @@
             int(fields[RESIDENT_PAGES]) * PAGE_KB,
         )
 
+    def _is_running(self) -> bool:
+        """Say whether the process was started and has not been waited for."""
+        process = self._process
+        if process is None or process.returncode is not None:
+            return False
+        try:
+            # A loop that was torn down no longer notes the end of its children.
+            return os.waitid(os.P_PID, process.pid, WAIT_OPTIONS) is None
+        except ChildProcessError:
+            return False
+
     def _running(self) -> asyncio.subprocess.Process:
         if self._process is None:
             raise ProcessError(f"{self._command} was not started")
--- a/packages/standins/bronzeline_standins/bench/runner.py
+++ b/packages/standins/bronzeline_standins/bench/runner.py
@@ -11,6 +11,7 @@
 from types import FrameType
 
 from bronzeline_kernel.exceptions import BronzelineError
+from bronzeline_standins.bench.child_process import ChildProcess
 from bronzeline_standins.bench.experiment import Measurement, Outcome
 from bronzeline_standins.bench.figure import Figure
 from bronzeline_standins.bench.scenario import Scenario
@@ -43,6 +44,10 @@
             )
     except TimeoutError:
         raise error from None
+    finally:
+        n_left = ChildProcess.end_all()
+        if n_left:
+            report(f"{scenario.scenario}: ended {n_left} processes that it left")
     report(f"{scenario.scenario}: {time.monotonic() - started_s:.1f} s")
     return [_figure(scenario, chosen_seed, item) for item in outcome]
 
