Soak real routers under seeded faults

Router processes against the stand-ins through loopback proxies that delay, reset, cut and silence; signals, restarts, store faults, revoked keys. Checked from what callers and runners saw. Not yet: broken copies of the product, checks of leaving and of cut streams at planned stops.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 PROJECTS := kernel daemon operator standins
 
-.PHONY: run demo test bench check setup
+.PHONY: run demo test bench check setup soak
 
 setup: $(STAMP)
 
@@ -26,6 +26,9 @@
 bench: setup
 	@$(BIN)/python -m bronzeline_standins bench $(if $(SCENARIO),--scenario $(SCENARIO)) $(if $(SEED),--seed $(SEED))
 
+soak: setup
+	$(BIN)/python -m bronzeline_platform.tests.soak $(if $(SEEDS),--seeds $(SEEDS)) $(if $(SEED),--seed $(SEED))
+
 check: setup
 	$(BIN)/ruff format --check packages platform .ci
 	$(BIN)/ruff check packages platform .ci
