Leave silent streams that can go on nowhere; count reached upstreams; end lingering attempts

Found on reading: a stream that may not be resumed was cut after 2.5 s of silence; rejections were not counted against max-attempts; an order whose upstream never answered kept its channel for good.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -20,6 +20,10 @@
 
 __all__ = ["Attempt", "AttemptListener"]
 
+# An upstream stops work when the budget ends; what it then says is taken for
+# as long, so that an order's outcome still gets into the log.
+LINGER_MS = 1_000.0
+
 
 @dataclass(frozen=True)
 class AttemptListener:
@@ -48,8 +52,11 @@
     _is_abandoned: bool = False
 
     def start(self) -> None:
-        """Begin in the background."""
+        """Begin in the background, and end some time after the budget."""
         self._task = asyncio.create_task(self._run())
+        limit_s = (self.send.budget_ms + LINGER_MS) / 1000.0
+        timer = asyncio.get_running_loop().call_later(limit_s, self.abandon)
+        self._task.add_done_callback(lambda task: timer.cancel())
 
     def abandon(self) -> None:
         """Close the connection at once and report nothing more."""
--- a/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
-from bronzeline_daemon.forwarding.relay import Relay, RelayParts
+from bronzeline_daemon.forwarding.relay import Relay
+from bronzeline_daemon.forwarding.relay_parts import RelayParts
 from bronzeline_kernel.forwarding import (
     AnswerHead,
     CallerRequest,
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -4,17 +4,16 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from typing import ClassVar, Protocol
+from typing import ClassVar
 
 from bronzeline_daemon.forwarding.attempt import Attempt, AttemptListener
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
-from bronzeline_daemon.forwarding.channels import Channels
-from bronzeline_daemon.forwarding.copies import Copies
-from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
-from bronzeline_daemon.forwarding.peers import ForwardingPeers
-from bronzeline_daemon.forwarding.prober import Prober
-from bronzeline_daemon.log_limits import LogLimiter, RequestLog
+from bronzeline_daemon.forwarding.relay_parts import (
+    Machine,
+    RelayParts,
+    RequestReport,
+)
+from bronzeline_daemon.log_limits import RequestLog
 from bronzeline_kernel.forwarding import (
     Abandon,
     Action,
@@ -28,17 +27,14 @@
     Failure,
     Fault,
     Finish,
-    KillerGuard,
     ListedUpstream,
     Probe,
     Send,
-    WireFormat,
     WorkspaceKeys,
     request_hash,
 )
-from bronzeline_kernel.protocols import Clock
 
-__all__ = ["Machine", "Relay", "RelayParts", "RequestReport"]
+__all__ = ["Relay"]
 
 STATUS_OF_FAILURE = {
     Failure.NOT_RUN: 503,
@@ -52,53 +48,6 @@
 STALL_MS = 150.0
 
 
-class Machine(Protocol):
-    """Decide on one request."""
-
-    is_over: bool
-
-    def start(self, now_ms: float) -> list[Action]:
-        """Begin."""
-
-    def lost(self, number: int, fault: Fault, now_ms: float) -> list[Action]:
-        """Take in that an attempt failed."""
-
-    def tick(self, now_ms: float) -> list[Action]:
-        """Look at the time."""
-
-    def cancel(self) -> list[Action]:
-        """Stop, since the caller left."""
-
-
-@dataclass(frozen=True)
-class RequestReport:
-    """Hold what became of a request."""
-
-    outcome: str
-    reason: str
-    upstream_id: str
-    n_attempts: int
-    duration_ms: float
-    # Both as the caller saw them; 0 where there was no event.
-    first_event_ms: float
-    longest_gap_ms: float
-
-
-@dataclass(frozen=True)
-class RelayParts:
-    """Hold what every relay of a router works with."""
-
-    clock: Clock
-    channels: Channels
-    wire: WireFormat
-    prober: Prober
-    copies: Copies
-    peers: ForwardingPeers
-    killers: KillerGuard
-    logs: LogLimiter
-    metrics: ForwardingMetrics
-
-
 class Relay:
     """Run a machine for one request; kinds of work derive from it."""
 
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -12,7 +12,8 @@
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
-from bronzeline_daemon.forwarding.relay import Relay, RelayParts, RequestReport
+from bronzeline_daemon.forwarding.relay import Relay
+from bronzeline_daemon.forwarding.relay_parts import RelayParts, RequestReport
 from bronzeline_daemon.forwarding.stream_relay import StreamRelay
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.admission import RetryBudget
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -70,7 +70,8 @@
 )
 from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
 from bronzeline_kernel.forwarding.stop_plan import StopPlan
-from bronzeline_kernel.forwarding.stream_run import StreamOptions, StreamRun
+from bronzeline_kernel.forwarding.stream_options import StreamOptions
+from bronzeline_kernel.forwarding.stream_run import StreamRun
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 from bronzeline_kernel.forwarding.view import ForwardingView
 
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -22,53 +22,14 @@
     Send,
 )
 from bronzeline_kernel.forwarding.placement import Placement
+from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
-__all__ = ["StreamOptions", "StreamRun"]
+__all__ = ["StreamRun"]
 
 Incarnation = tuple[str, int]
 
 
-@dataclass(frozen=True)
-class StreamOptions:
-    """Set when a silent upstream is asked, and when it is left."""
-
-    # Events come every 30 to 60 ms; chunks of other prompts hold them back
-    # by 25 ms each. A connection attempt costs next to nothing.
-    probe_after_ms: float = 220.0
-    probe_again_ms: float = 250.0
-    # A copy goes on within 140 ms, and a gap may last 700 ms.
-    leave_after_ms: float = 520.0
-    # Without a copy the prompt is read anew, which breaks the gap anyway.
-    leave_without_copy_ms: float = 2_500.0
-    # A copy that gives nothing by then is not going to.
-    copy_start_ms: float = 400.0
-    # Before the first event silence is normal: the prompt is read, behind
-    # others. An upstream that gave a sign of life within this time is busy,
-    # not dead, and reading the prompt twice costs more than the stream.
-    sign_of_life_ms: float = 1_500.0
-    # Without such a sign the stream is moved while another upstream could
-    # still give the first event within the objective of 4,500 ms.
-    first_event_ms: float = 3_000.0
-    first_event_busy_ms: float = 9_000.0
-    # Engines read 5 tokens in a millisecond, and take 1.2 to 2.3 times as long
-    # between the steps of running streams.
-    prompt_tokens_per_ms: float = 5.0
-    usual_prompt_factor: float = 1.8
-    # A connection attempt before the first event can wait: no gap is open.
-    probe_prompt_again_ms: float = 600.0
-    # A copy made on request is freed by its source after 4 s, well exceeded.
-    copy_refresh_ms: float = 2_500.0
-    copy_retry_ms: float = 500.0
-    # All upstreams turned the request away: they free slots within this.
-    retry_after_ms: float = 500.0
-    # After three upstreams died under a stream in a row it is a killer or out
-    # of luck; either way another prompt is not worth another engine.
-    max_deaths: int = 3
-    # One request may not knock at every door of a large fleet.
-    max_rejections: int = 4
-
-
 @dataclass
 class Attempt:
     """Hold the state of the attempt that may append to the answer."""
@@ -103,6 +64,7 @@
     is_over: bool = False
     n_sent: int = 0
     n_rejected: int = 0
+    n_unreachable: int = 0
     n_lost: int = 0
     n_deaths: int = 0
     _tried: set[Incarnation] = field(default_factory=set)
@@ -146,17 +108,6 @@
         self.n_deaths = 0
         return True
 
-    def _note_speed(self, attempt: Attempt, now_ms: float) -> None:
-        """Tell the health record how long the prompt took to read."""
-        options = self.options
-        prompt_ms = self.request.n_prompt_tokens / options.prompt_tokens_per_ms
-        if attempt.is_from_copy or not prompt_ms:
-            return
-        usual_ms = options.usual_prompt_factor * prompt_ms
-        took_ms = now_ms - attempt.sent_at_ms
-        incarnation = attempt.upstream.incarnation
-        self.placement.health.prompt_read(incarnation, took_ms, usual_ms, now_ms)
-
     def is_gap(self, number: int, event_id: int) -> bool:
         """Say whether an event shows that one before it is missing."""
         is_current = self.attempt is not None and self.attempt.number == number
@@ -208,6 +159,9 @@
             return []
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
+        if not self.route.is_resumable:
+            # It can go on nowhere else, and may yet be answered here.
+            return []
         silent_ms = now_ms - attempt.progress_at_ms
         if silent_ms >= self._leave_after_ms(attempt, now_ms):
             return self._leave(attempt, now_ms)
@@ -245,6 +199,17 @@
         self.is_over = True
         return [Abandon(number), *drops] if number else []
 
+    def _note_speed(self, attempt: Attempt, now_ms: float) -> None:
+        """Tell the health record how long the prompt took to read."""
+        options = self.options
+        prompt_ms = self.request.n_prompt_tokens / options.prompt_tokens_per_ms
+        if attempt.is_from_copy or not prompt_ms:
+            return
+        usual_ms = options.usual_prompt_factor * prompt_ms
+        took_ms = now_ms - attempt.sent_at_ms
+        incarnation = attempt.upstream.incarnation
+        self.placement.health.prompt_read(incarnation, took_ms, usual_ms, now_ms)
+
     def _is_current(self, number: int) -> bool:
         if self.is_over or self.attempt is None:
             return False
@@ -322,7 +287,7 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstream lost")
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
-        if self.n_sent >= self.route.max_attempts + self.n_lost:
+        if not self._has_attempts_left():
             return self._fail(Failure.UNKNOWN_OUTCOME, "attempts used up")
         if self.n_deaths >= self.options.max_deaths:
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstreams died in a row")
@@ -337,6 +302,11 @@
             return [self._send(attempt.upstream, now_ms, None)]
         return self._send_prompt(now_ms)
 
+    def _has_attempts_left(self) -> bool:
+        """Count the upstreams that were reached, less those that were lost."""
+        n_counted = self.n_sent - self.n_unreachable - self.n_lost
+        return n_counted < self.route.max_attempts
+
     def _after_rejection(
         self, attempt: Attempt, fault: Fault, now_ms: float
     ) -> list[Action]:
@@ -344,6 +314,10 @@
             return self._fail(Failure.TIMED_OUT, "deadline")
         if self.n_deaths >= self.options.max_deaths:
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstreams died in a row")
+        if fault is Fault.UNREACHABLE:
+            self.n_unreachable += 1
+        elif not self._has_attempts_left():
+            return self._fail_unserved("attempts used up")
         if not attempt.is_from_copy:
             self.n_rejected += 1
         if self.n_rejected > self.options.max_rejections:
@@ -364,7 +338,9 @@
     def _send(
         self, upstream: ListedUpstream, now_ms: float, copy: CopySource | None
     ) -> Send:
-        copy_to = self.placement.for_copy(upstream, now_ms) if self._keeps() else None
+        copy_to = None
+        if self.route.is_resumable:
+            copy_to = self.placement.for_copy(upstream, now_ms)
         self.n_sent += 1
         self.attempt = Attempt(
             self.n_sent, upstream, now_ms, now_ms, now_ms, copy is not None, copy_to
@@ -377,9 +353,6 @@
         budget_ms = max(0.0, self.deadline_ms - now_ms)
         return Send(self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to)
 
-    def _keeps(self) -> bool:
-        return self.route.is_resumable
-
     def _copy_of(self, attempt: Attempt, now_ms: float) -> CopySource | None:
         """Return the copy to go on from; there is none before the first event."""
         if not attempt.has_events:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -175,6 +175,23 @@
         driver.events(1, 2)
         self.assertEqual(driver.lose(1)[0].failure, Failure.UNKNOWN_OUTCOME)
 
+    @params((1, 1), (2, 2), (5, 5))
+    def test_no_more_upstreams_are_reached_than_the_route_allows(self, allowed, n):
+        driver = Driver(route=route(max_attempts=allowed))
+        driver.start()
+        for number in range(1, 9):
+            driver.lose(number, Fault.FULL)
+        sent = [item for item in driver.asked if isinstance(item, Send)]
+        self.assertEqual(len(sent), n)
+        self.assertEqual(driver.asked[-1].failure, Failure.NOT_RUN)
+
+    def test_silence_ends_no_stream_that_can_go_on_nowhere(self):
+        driver = Driver(route=route(is_resumable=False))
+        driver.start()
+        driver.events(1, 3)
+        self.assertEqual(driver.wait(20_000.0, step_ms=100.0), [])
+        self.assertTrue(driver.event(1, 4))
+
     def test_the_budget_bounds_what_is_sent_again(self):
         driver = Driver(budget=2.0)
         driver.start()
