--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -126,6 +126,11 @@
         """Tell the peers that a run ended."""
         self._send(RunEnded(request_hash), self._in_zone())
 
+    @property
+    def n_routers(self) -> int:
+        """Return how many routers are known, this one included."""
+        return len(self._peers) + 1
+
     def ids_in_zone(self) -> list[str]:
         """List the peers of the own zone."""
         return [item.router_id for item in self._in_zone()]
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -16,9 +16,9 @@
 from bronzeline_daemon.forwarding.relay_parts import RelayParts, RequestReport
 from bronzeline_daemon.forwarding.stream_relay import StreamRelay
 from bronzeline_daemon.log_limits import LogLimiter
-from bronzeline_kernel.admission import RetryBudget
 from bronzeline_kernel.forwarding import (
     Admitted,
+    BudgetShare,
     CallerLimits,
     CallerRequest,
     CallRun,
@@ -50,12 +50,6 @@
     Refusal.STOPPING: 503,
     Refusal.QUARANTINED: 503,
 }
-# The reserve of repeats is shared by all routers; a site runs 7 to 9 today,
-# so a tenth each stays within it.
-RESERVE_SHARE = 0.1
-# What is kept back of the allowed ratio, since windows of requests and
-# repeats don't coincide.
-RATIO_SHARE = 0.75
 
 
 class ForwardingService:
@@ -85,7 +79,7 @@
         self.peers = ForwardingPeers(
             settings, store, self.placement, self._runs, self._killers, clock, random
         )
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = BudgetShare(settings.retry_ratio, settings.n_retry_reserve)
         self.n_running = 0
         self.stop_plan: StopPlan | None = None
         self.metrics = ForwardingMetrics()
@@ -153,7 +147,7 @@
         table = self._view.table
         assert table is not None
         service = table.draw_service(route, self._random)
-        budget = self._budget(service)
+        budget = self._budgets.budget(service, self.peers.n_routers)
         allowed_ms = min(request.budget_ms or route.timeout_ms, route.timeout_ms)
         deadline_ms = now_ms + allowed_ms
         self.n_running += 1
@@ -181,14 +175,6 @@
     def _is_blocked(self, name: str) -> bool:
         return self._killers.is_blocked(name, self._clock.now_ms())
 
-    def _budget(self, service: str) -> RetryBudget:
-        if service not in self._budgets:
-            self._budgets[service] = RetryBudget(
-                RATIO_SHARE * self._settings.retry_ratio,
-                RESERVE_SHARE * self._settings.n_retry_reserve,
-            )
-        return self._budgets[service]
-
     def _take_report(self, kind: WorkKind, report: RequestReport) -> None:
         self.n_running -= 1
         self.metrics.request_ended(kind.value, report.outcome, report.duration_ms)
--- a/packages/kernel/bronzeline_kernel/admission/budget.py
+++ b/packages/kernel/bronzeline_kernel/admission/budget.py
@@ -18,6 +18,11 @@
         """Return how many repeats may start now."""
         return self._n_left
 
+    def resize(self, n_reserve: float) -> None:
+        """Take another reserve; what is left beyond it is lost."""
+        self._n_reserve = n_reserve
+        self._n_left = min(self._n_left, n_reserve)
+
     def earn(self) -> None:
         """Count a first-time grant."""
         self._n_left = min(self._n_reserve, self._n_left + self.ratio)
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -6,6 +6,7 @@
     Refused,
     admit,
 )
+from bronzeline_kernel.forwarding.budget_share import BudgetShare
 from bronzeline_kernel.forwarding.call_run import CallOptions, CallRun
 from bronzeline_kernel.forwarding.change_log import ChangeLog, UpstreamChange
 from bronzeline_kernel.forwarding.config import (
@@ -80,6 +81,7 @@
     "Action",
     "Admitted",
     "AnswerHead",
+    "BudgetShare",
     "CallOptions",
     "CallRun",
     "CallerLimits",
