--- a/packages/daemon/bronzeline_daemon/forwarding/front.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -72,6 +73,7 @@
         self._headers: list[tuple[str, str]] = []
         self._chunks: list[bytes] = []
         self._n_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
 
     def headers_received(
         self,
@@ -89,7 +91,8 @@
         if n_head_bytes > self._limits.max_header_bytes:
             self._answer.send(431, [])
             return
-        self._connection.set_body_timeout(self._limits.idle_timeout_ms / 1000.0)
+        limit_s = self._limits.idle_timeout_ms / 1000.0
+        self._timer = asyncio.get_running_loop().call_later(limit_s, self._time_out)
         length = headers.get("Content-Length", "0").partition(",")[0]
         if length.isdigit() and int(length) > self._limits.max_body_bytes:
             self._answer.send(413, [])
@@ -104,6 +107,7 @@
 
     def finish(self) -> None:
         """Hand the whole request on."""
+        self._stop_timer()
         if self._answer.is_over:
             return
         assert self._start_line is not None
@@ -118,4 +122,13 @@
 
     def on_connection_close(self) -> None:
         """Drop what was read of a request whose connection broke."""
+        self._stop_timer()
         self._chunks.clear()
+
+    def _time_out(self) -> None:
+        """Refuse a body that takes too long; it has not been passed on."""
+        self._answer.send(408, [])
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
