--- a/.ci/line_shares.py
+++ b/.ci/line_shares.py
@@ -9,6 +9,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 COORDINATION = (
     "admission",
+    "forwarding",
     "generation",
     "membership",
     "orders",
@@ -25,6 +26,8 @@
     """Return the area that a source file counts to."""
     if "tests" in path.parts:
         return "tests"
+    if path.parts[0] == "platform":
+        return "platform"
     if path.parts[0] != "packages":
         return "build"
     names = COORDINATION if path.parts[1] == "kernel" else COORDINATION_SHELL
