--- a/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
@@ -25,8 +25,9 @@
         request: CallerRequest,
         workspace: WorkspaceKeys | None,
         answer: CallerAnswer,
+        hash_of_request: str,
     ) -> None:
-        super().__init__(parts, run, request, workspace, answer)
+        super().__init__(parts, run, request, workspace, answer, hash_of_request)
         self._run = run
         self._chunks: dict[int, list[bytes]] = {}
 
--- a/packages/daemon/bronzeline_daemon/forwarding/caller_answer.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_answer.py
@@ -2,31 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Iterable
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
+from bronzeline_daemon.forwarding.connection_headers import CONNECTION_HEADERS
+from bronzeline_daemon.futures import take_exception
+
 __all__ = ["CallerAnswer"]
 
 Header = tuple[str, str]
 
-# Headers that concern one connection only; the body is framed anew.
-CONNECTION_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+# The body is framed anew.
+DROPPED_HEADERS = CONNECTION_HEADERS | {"proxy-authenticate"}
 
 
 class CallerAnswer:
@@ -67,7 +57,7 @@
     def write(self, chunk: bytes) -> None:
         """Send a piece of the body."""
         if not self.is_over and not self.is_gone:
-            self._connection.write(chunk).add_done_callback(_retrieve)
+            self._connection.write(chunk).add_done_callback(take_exception)
 
     def finish(self) -> None:
         """End the answer as complete."""
@@ -88,17 +78,12 @@
         reason = responses.get(status, "Unknown")
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         written = self._connection.write_headers(start_line, fields, body or None)
-        written.add_done_callback(_retrieve)
+        written.add_done_callback(take_exception)
 
 
 def _end_to_end(headers: Iterable[Header]) -> HTTPHeaders:
     fields = HTTPHeaders()
     for name, value in headers:
-        if name.lower() not in CONNECTION_HEADERS:
+        if name.lower() not in DROPPED_HEADERS:
             fields.add(name, value)
     return fields
-
-
-def _retrieve(written: asyncio.Future[None]) -> None:
-    if not written.cancelled():
-        written.exception()
--- a/packages/daemon/bronzeline_daemon/forwarding/channels.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/channels.py
@@ -115,7 +115,9 @@
     set_liveness_options(sock)
     stream = Channel(sock)
     try:
-        await asyncio.wait_for(stream.connect(address), timeout_ms / 1000.0)
+        # wait_for loses a cancel that meets the connection.
+        async with asyncio.timeout(timeout_ms / 1000.0):
+            await stream.connect(address)
     except (StreamClosedError, OSError, TimeoutError) as error:
         stream.close()
         raise UpstreamUnreachableError(f"{address}: {error}") from None
--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -16,6 +16,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from bronzeline_daemon.forwarding.channels import Address, Channels
+from bronzeline_daemon.futures import take_exception
 from bronzeline_kernel.exceptions import StreamBrokenError
 
 __all__ = ["Exchange", "OutgoingRequest", "WholeAnswer", "fetch"]
@@ -126,15 +127,10 @@
             headers["Content-Length"] = str(len(request.body))
         start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
         written = connection.write_headers(start_line, headers, request.body or None)
-        written.add_done_callback(_retrieve)
+        written.add_done_callback(take_exception)
         connection.finish()
 
 
-def _retrieve(written: asyncio.Future[None]) -> None:
-    if not written.cancelled():
-        written.exception()
-
-
 async def fetch(
     channels: Channels,
     address: Address,
@@ -157,7 +153,8 @@
 
     exchange = Exchange(stream, take_head, chunks.append)
     try:
-        await asyncio.wait_for(exchange.run(request), timeout_ms / 1000.0)
+        async with asyncio.timeout(timeout_ms / 1000.0):
+            await exchange.run(request)
     except TimeoutError:
         raise StreamBrokenError(f"no answer within {timeout_ms:.0f} ms") from None
     finally:
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -190,13 +190,12 @@
     def _peer(self, router_id: str) -> RouterEntry | None:
         return next((x for x in self._peers if x.router_id == router_id), None)
 
-    def _in_zone(self) -> Iterable[RouterEntry]:
+    def _in_zone(self, *, is_own: bool = True) -> list[RouterEntry]:
+        """List the peers of the own zone, or those of all others."""
         zone = self._own.availability_zone
-        return (item for item in self._peers if item.availability_zone == zone)
-
-    def _beyond_zone(self) -> Iterable[RouterEntry]:
-        zone = self._own.availability_zone
-        return (item for item in self._peers if item.availability_zone != zone)
+        return [
+            item for item in self._peers if (item.availability_zone == zone) is is_own
+        ]
 
     def _some(self, peers: list[RouterEntry]) -> list[RouterEntry]:
         """Choose at random where there are too many to tell each time."""
@@ -246,9 +245,9 @@
             if is_idle or n_same % REPEAT_REPORT_EVERY:
                 continue
             report = LoadReport(self._own.router_id, *load)
-            self._send(report, self._some(list(self._in_zone())))
+            self._send(report, self._some(self._in_zone()))
             if has_new_prompts:
-                self._send(report, self._some(list(self._beyond_zone())))
+                self._send(report, self._some(self._in_zone(is_own=False)))
 
 
 def _ignore_ask(asked: ProofAsked, peer: RouterEntry) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -40,6 +40,7 @@
         self._peers = peers
         self._clock = clock
         self._was_reading = True
+        self._task: asyncio.Task[None] | None = None
         peers.on_proof_asked = self._answer
         peers.on_proof_given = self._take
 
@@ -49,7 +50,8 @@
 
     def stop(self) -> None:
         """Stop asking."""
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     async def _run(self) -> None:
         while True:
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -31,7 +31,6 @@
     Probe,
     Send,
     WorkspaceKeys,
-    request_hash,
 )
 
 __all__ = ["Relay"]
@@ -61,6 +60,7 @@
         request: CallerRequest,
         workspace: WorkspaceKeys | None,
         answer: CallerAnswer,
+        hash_of_request: str,
     ) -> None:
         self.parts = parts
         self.request = request
@@ -70,7 +70,7 @@
         self._attempts: dict[int, Attempt] = {}
         self._started_at_ms = parts.clock.now_ms()
         self._upstream_id = ""
-        self._hash = request_hash(request)
+        self._hash = hash_of_request
         self._log = RequestLog(parts.logs, request.request_id)
         self.first_event_ms = 0.0
         self.longest_gap_ms = 0.0
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -57,8 +57,7 @@
         self.settings = settings
         self.clock = clock or BootClock()
         self.random = Random(f"{settings.router_id}/{self.clock.now_ms()}")
-        max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
-        self.view = ForwardingView(LeaseTerms(max_age_ms, READY_SHARE * max_age_ms))
+        self.view = ForwardingView(_lease_terms(settings))
         self.service = ForwardingService(
             settings, self.view, wire, copier, store, self.clock, self.random
         )
@@ -81,6 +80,7 @@
         self._metrics_port = metrics_port
         self._metrics_server = MetricsServer(self.service.metrics)
         self._readiness = HTTPServer(self._answer_readiness)
+        self._log_task: asyncio.Task[None] | None = None
         self.stopped = asyncio.Event()
 
     @property
@@ -108,8 +108,7 @@
 
     def take_settings(self, settings: ForwardingSettings) -> None:
         """Take the bounds of changed settings; addresses hold for a process."""
-        max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
-        self.view.lease.terms = LeaseTerms(max_age_ms, READY_SHARE * max_age_ms)
+        self.view.lease.terms = _lease_terms(settings)
         self.settings = settings
         log_event("settings_taken", router=settings.router_id)
 
@@ -123,6 +122,17 @@
         log_event("stopping", n_running=self.service.n_running)
         self._stop_task = asyncio.create_task(self._finish(plan))
 
+    def close(self) -> None:
+        """End the background work and listen no more."""
+        if self._log_task is not None:
+            self._log_task.cancel()
+        self.watch.stop()
+        self.proofs.stop()
+        self.service.peers.stop()
+        for server in (self.front.server, self._readiness, self._metrics_server):
+            server.stop()
+        self._store.close()
+
     async def _report_dropped_lines(self) -> None:
         while True:
             await asyncio.sleep(DROPPED_REPORT_S)
@@ -135,12 +145,7 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
         log_event("stopped", n_cut=self.service.n_running)
-        self._log_task.cancel()
-        self.watch.stop()
-        self.proofs.stop()
-        self.service.peers.stop()
-        self.front.server.stop()
-        self._store.close()
+        self.close()
         self.stopped.set()
 
     def _add_gauges(self) -> None:
@@ -172,3 +177,8 @@
             HTTPHeaders({"Content-Length": "0"}),
         )
         connection.finish()
+
+
+def _lease_terms(settings: ForwardingSettings) -> LeaseTerms:
+    max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
+    return LeaseTerms(max_age_ms, READY_SHARE * max_age_ms)
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -162,10 +162,12 @@
                 inherited=self._runs.take(name, now_ms),
                 is_blocked=lambda: self._is_blocked(name),
             )
-            relay: Relay = StreamRelay(self._parts, stream, request, workspace, answer)
+            relay: Relay = StreamRelay(
+                self._parts, stream, request, workspace, answer, name
+            )
         else:
             call = CallRun(route, service, self.placement, budget, deadline_ms)
-            relay = CallRelay(self._parts, call, request, workspace, answer)
+            relay = CallRelay(self._parts, call, request, workspace, answer, name)
         relay.start(lambda report: self._take_report(route.kind, report))
 
     def report_dropped_lines(self) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -32,8 +32,9 @@
         request: CallerRequest,
         workspace: WorkspaceKeys | None,
         answer: CallerAnswer,
+        hash_of_request: str,
     ) -> None:
-        super().__init__(parts, run, request, workspace, answer)
+        super().__init__(parts, run, request, workspace, answer, hash_of_request)
         self._run = run
         self._splitters: dict[int, EventSplitter] = {}
         self._plain: dict[int, list[bytes]] = {}
--- a/packages/daemon/bronzeline_daemon/plugins/http_client.py
+++ b/packages/daemon/bronzeline_daemon/plugins/http_client.py
@@ -12,6 +12,7 @@
     SimpleAsyncHTTPClient,
 )
 
+from bronzeline_daemon.futures import take_exception
 from bronzeline_kernel.exceptions import (
     StreamBrokenError,
     UpstreamRefusedError,
@@ -64,7 +65,7 @@
         answer = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
         # The client goes on with a request whose caller was cancelled, and would
         # log the end of its connection as an error.
-        answer.add_done_callback(_take_exception)
+        answer.add_done_callback(take_exception)
         try:
             return await asyncio.shield(answer)
         except HTTPTimeoutError as error:
@@ -77,11 +78,6 @@
             raise StreamBrokenError(str(error)) from None
 
 
-def _take_exception(answer: asyncio.Future[HTTPResponse]) -> None:
-    if not answer.cancelled():
-        answer.exception()
-
-
 def refuse_unless_ok(response: HTTPResponse, what: str) -> None:
     """Raise `UpstreamRefusedError` for an answer that is not a success."""
     if response.code >= 400:
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/channels_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/channels_tests.py
@@ -1,12 +1,15 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 from bronzeline_daemon.forwarding.channels import (
     DEFAULT_IDLE_MS,
     IDLE_SHARE,
+    Channel,
     Channels,
     accepts_connection,
+    connect,
 )
 from bronzeline_kernel.exceptions import UpstreamUnreachableError
 
@@ -75,6 +78,16 @@
             self.assertFalse(await accepts_connection(address, 100.0))
         self.assertTrue(await accepts_connection(self.address, 100.0))
 
+    async def test_a_cancel_that_meets_the_connection_is_not_lost(self):
+        connected = asyncio.get_running_loop().create_future()
+        with mock.patch.object(Channel, "connect", return_value=connected):
+            connecting = asyncio.create_task(connect(self.address, 500.0))
+            await asyncio.sleep(0)
+            connected.set_result(None)
+            connecting.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await connecting
+
     async def test_a_connection_that_hangs_is_given_up(self):
         with socket.socket() as full:
             full.bind(("127.0.0.1", 0))
--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -107,11 +107,7 @@
     def cancel(self) -> list[Action]:
         """Stop, since the caller left; what may not repeat runs to its end."""
         self.is_over = True
-        if self.route.is_repeatable:
-            return self._abandon_all()
-        for number in list(self._open):
-            self._release(number)
-        return []
+        return self._let_go()
 
     def _hedge_after_ms(self) -> float:
         return self.route.target_latency_ms * self.options.hedge_share
@@ -164,13 +160,12 @@
         self, failure: Failure, reason: str, retry_after_ms: float = 0.0
     ) -> list[Action]:
         self.is_over = True
-        if self.route.is_repeatable:
-            others = self._abandon_all()
-        else:
-            others = []
-            for number in list(self._open):
-                self._release(number)
-        return [*others, Fail(failure, reason, retry_after_ms)]
+        return [*self._let_go(), Fail(failure, reason, retry_after_ms)]
+
+    def _let_go(self) -> list[Action]:
+        """Abandon what may repeat; what may not runs to its end unheeded."""
+        abandoned = self._abandon_all()
+        return abandoned if self.route.is_repeatable else []
 
     def _abandon_all(self) -> list[Action]:
         numbers = list(self._open)
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -139,10 +139,6 @@
             return False
         return not self.health.is_avoided(keeper.incarnation, now_ms)
 
-    def has_any(self, service: str, now_ms: float) -> bool:
-        """Say whether a service has an upstream at all."""
-        return bool(self.upstreams.usable(service, now_ms))
-
     def _cheapest(
         self,
         service: str,
