Ask engines which prompts they keep when a request comes back

Of 34,180 tokens read for nothing nearly all were the prompts of streams that lost power with every router and came back 18 s later with 0.3 to 4.9 s left: no router knew any longer which engine had read them, and a second reading takes 1.1 to 2.2 s. The copies are gone by then (4 s), the prompts are not.

Change: a request that goes on after an event, or has less than 0.8 of its route's time left, waits at most 150 ms for the lists of the engines of its service (64 at most, each asked once in 3 s) and goes where its prompt is kept. `PromptIndex` holds the lists, `Placement` weighs the reading saved, `PromptLists` asks. `RunCopier` is now `EngineClient`, since it does both.

Not mended by this: those streams still miss their deadline, most for the few seconds that are left.

--- a/packages/daemon/bronzeline_daemon/forwarding/command.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/command.py
@@ -55,7 +55,7 @@
             "directory_store", settings.platform, address=settings.store, clock=clock
         ),
         registry.create("wire_format", settings.platform),
-        registry.create("run_copier", settings.platform, clock=clock),
+        registry.create("engine_client", settings.platform, clock=clock),
         clock,
         metrics_port,
     )
--- a/packages/daemon/bronzeline_daemon/forwarding/copies.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/copies.py
@@ -7,7 +7,12 @@
 
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.exceptions import UpstreamError
-from bronzeline_kernel.forwarding import CallerRequest, CopyRun, CopySource, RunCopier
+from bronzeline_kernel.forwarding import (
+    CallerRequest,
+    CopyRun,
+    CopySource,
+    EngineClient,
+)
 
 __all__ = ["Copies"]
 
@@ -17,8 +22,8 @@
 class Copies:
     """Call the engines that hold runs and copies."""
 
-    def __init__(self, copier: RunCopier) -> None:
-        self._copier = copier
+    def __init__(self, engines: EngineClient) -> None:
+        self._engines = engines
         self._tasks: set[asyncio.Task[None]] = set()
 
     def make(self, request: CallerRequest, action: CopyRun, on_copy: OnCopy) -> None:
@@ -40,7 +45,7 @@
         copy = None
         error = ""
         try:
-            copy = await self._copier.copy_run(request, action.source, action.keeper)
+            copy = await self._engines.copy_run(request, action.source, action.keeper)
         except UpstreamError as failure:
             error = str(failure)
         log_event(
@@ -54,7 +59,7 @@
 
     async def _drop(self, copy: CopySource) -> None:
         try:
-            await self._copier.drop_copy(copy)
+            await self._engines.drop_copy(copy)
         except UpstreamError as failure:
             # The engine frees it by itself some seconds later.
             log_event("copy_not_dropped", copy_id=copy.copy_id, error=str(failure))
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/prompt_lists.py
@@ -0,0 +1,75 @@
+"""Ask engines which prompts they keep."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from bronzeline_daemon.logs import log_event
+from bronzeline_kernel.exceptions import UpstreamError
+from bronzeline_kernel.forwarding import EngineClient, ListedUpstream, PromptIndex
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["PromptLists"]
+
+Incarnation = tuple[str, int]
+
+
+class PromptLists:
+    """Fill the index of prompts with what engines list."""
+
+    def __init__(self, engines: EngineClient, index: PromptIndex, clock: Clock) -> None:
+        self._engines = engines
+        self._index = index
+        self._clock = clock
+        self._calls: dict[Incarnation, asyncio.Task[str]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def ask(
+        self,
+        request_id: str,
+        upstreams: Sequence[ListedUpstream],
+        on_listed: Callable[[], None],
+    ) -> None:
+        """Ask each upstream at most once at a time; call back after the last."""
+        task = asyncio.create_task(self._ask(request_id, upstreams, on_listed))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(
+        self,
+        request_id: str,
+        upstreams: Sequence[ListedUpstream],
+        on_listed: Callable[[], None],
+    ) -> None:
+        started_at_ms = self._clock.now_ms()
+        errors = await asyncio.gather(*(self._call(item) for item in upstreams))
+        failed = [error for error in errors if error]
+        log_event(
+            "prompts_listed",
+            request_id=request_id,
+            n_asked=len(errors),
+            n_failed=len(failed),
+            error=failed[0] if failed else "",
+            took_ms=round(self._clock.now_ms() - started_at_ms),
+        )
+        on_listed()
+
+    def _call(self, upstream: ListedUpstream) -> asyncio.Task[str]:
+        """Return the call to an upstream that runs, or a new one."""
+        incarnation = upstream.incarnation
+        call = self._calls.get(incarnation)
+        if call is None:
+            call = asyncio.create_task(self._list(upstream))
+            self._calls[incarnation] = call
+            call.add_done_callback(lambda done: self._calls.pop(incarnation))
+        return call
+
+    async def _list(self, upstream: ListedUpstream) -> str:
+        """Take in an upstream's list; return what went wrong."""
+        try:
+            tokens = await self._engines.list_prompts(upstream)
+        except UpstreamError as error:
+            return str(error)
+        self._index.put(upstream.incarnation, tokens, self._clock.now_ms())
+        return ""
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -28,6 +28,7 @@
     Fault,
     Finish,
     ListedUpstream,
+    ListPrompts,
     Probe,
     Send,
     WorkspaceKeys,
@@ -111,6 +112,10 @@
                     self.parts.copies.make(self.request, action, self.take_copy)
                 case DropCopy(copy):
                     self.parts.copies.drop(copy)
+                case ListPrompts(upstreams):
+                    self.parts.prompts.ask(
+                        self.request.request_id, upstreams, self.take_lists
+                    )
                 case Finish(number):
                     self.finish(number)
                     self.parts.killers.ran_well(self._hash)
@@ -136,6 +141,9 @@
     def take_copy(self, number: int, copy: CopySource | None) -> None:
         """Take in that a copy of a run was made, or that it could not be."""
 
+    def take_lists(self) -> None:
+        """Take in that upstreams listed the prompts that they keep."""
+
     def finish(self, number: int) -> None:
         """End the caller's answer with what an attempt brought."""
         raise NotImplementedError
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_parts.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_parts.py
@@ -10,6 +10,7 @@
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
+from bronzeline_daemon.forwarding.prompt_lists import PromptLists
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.forwarding import Action, Fault, KillerGuard, WireFormat
 from bronzeline_kernel.protocols import Clock
@@ -58,6 +59,7 @@
     wire: WireFormat
     prober: Prober
     copies: Copies
+    prompts: PromptLists
     peers: ForwardingPeers
     killers: KillerGuard
     logs: LogLimiter
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -18,11 +18,11 @@
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.forwarding import (
     DirectoryStore,
+    EngineClient,
     ForwardingSettings,
     ForwardingView,
     LeaseTerms,
     ProofSource,
-    RunCopier,
     StopPlan,
     WireFormat,
 )
@@ -50,7 +50,7 @@
         settings: ForwardingSettings,
         store: DirectoryStore,
         wire: WireFormat,
-        copier: RunCopier,
+        engines: EngineClient,
         clock: Clock | None = None,
         metrics_port: int | None = None,
     ) -> None:
@@ -59,7 +59,7 @@
         self.random = Random(f"{settings.router_id}/{self.clock.now_ms()}")
         self.view = ForwardingView(_lease_terms(settings))
         self.service = ForwardingService(
-            settings, self.view, wire, copier, store, self.clock, self.random
+            settings, self.view, wire, engines, store, self.clock, self.random
         )
         self.front = Front(wire, self.service.limits, self.service.handle)
         self.source = ProofSource(settings.router_id)
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -12,6 +12,7 @@
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
+from bronzeline_daemon.forwarding.prompt_lists import PromptLists
 from bronzeline_daemon.forwarding.relay import Relay
 from bronzeline_daemon.forwarding.relay_parts import RelayParts, RequestReport
 from bronzeline_daemon.forwarding.stream_relay import StreamRelay
@@ -23,13 +24,13 @@
     CallerRequest,
     CallRun,
     DirectoryStore,
+    EngineClient,
     ForwardingSettings,
     ForwardingView,
     KillerGuard,
     Placement,
     Refusal,
     Refused,
-    RunCopier,
     RunDirectory,
     StopPlan,
     StreamRun,
@@ -60,7 +61,7 @@
         settings: ForwardingSettings,
         view: ForwardingView,
         wire: WireFormat,
-        copier: RunCopier,
+        engines: EngineClient,
         store: DirectoryStore,
         clock: Clock,
         random: Random,
@@ -89,7 +90,8 @@
             self.channels,
             wire,
             Prober(),
-            Copies(copier),
+            Copies(engines),
+            PromptLists(engines, self.placement.prompts, clock),
             self.peers,
             self._killers,
             self._logs,
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -37,6 +37,7 @@
     Failure,
     Fault,
     Finish,
+    ListPrompts,
     Probe,
     Send,
 )
@@ -49,6 +50,7 @@
     ZoneLost,
 )
 from bronzeline_kernel.forwarding.placement import Load, Placement, PlacementOptions
+from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
 from bronzeline_kernel.forwarding.proof_source import (
     ProofAsk,
     ProofOptions,
@@ -58,7 +60,7 @@
     AnswerHead,
     ConfigReading,
     DirectoryStore,
-    RunCopier,
+    EngineClient,
     UpstreamChanges,
     UpstreamListing,
     WireFormat,
@@ -92,6 +94,7 @@
     "CopySource",
     "DirectoryStore",
     "DropCopy",
+    "EngineClient",
     "EngineInfo",
     "EngineLost",
     "Fail",
@@ -106,12 +109,15 @@
     "KillerGuard",
     "KillerOptions",
     "LeaseTerms",
+    "ListPrompts",
     "ListedUpstream",
     "Load",
     "LoadReport",
     "Placement",
     "PlacementOptions",
     "Probe",
+    "Prompt",
+    "PromptIndex",
     "ProofAsk",
     "ProofAsked",
     "ProofGiven",
@@ -122,7 +128,6 @@
     "Route",
     "RouteTable",
     "RouterEntry",
-    "RunCopier",
     "RunDirectory",
     "RunEnded",
     "RunRecord",
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -18,6 +18,7 @@
     "Failure",
     "Fault",
     "Finish",
+    "ListPrompts",
     "Probe",
     "Send",
 ]
@@ -40,6 +41,8 @@
     after_event: int = 0
     n_prompt_tokens: int = 0
     prompt_parts: str = ""
+    # Names the part of the prompt that no other caller's request has.
+    own_part_id: str = ""
 
     @property
     def path(self) -> str:
@@ -127,6 +130,13 @@
     copy: CopySource
 
 
+@dataclass(frozen=True)
+class ListPrompts:
+    """Ask upstreams which prompts they keep."""
+
+    upstreams: tuple[ListedUpstream, ...]
+
+
 @dataclass(frozen=True)
 class Finish:
     """End the caller's answer as complete, with what this attempt gave."""
@@ -143,4 +153,4 @@
     retry_after_ms: float = 0.0
 
 
-Action = Send | Abandon | Probe | CopyRun | DropCopy | Finish | Fail
+Action = Send | Abandon | Probe | CopyRun | DropCopy | ListPrompts | Finish | Fail
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from bronzeline_kernel.forwarding.health import UpstreamHealth
+from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 
 __all__ = ["Load", "Placement", "PlacementOptions"]
@@ -71,6 +72,7 @@
     health: UpstreamHealth
     random: Random
     options: PlacementOptions = field(default_factory=PlacementOptions)
+    prompts: PromptIndex = field(default_factory=PromptIndex)
     _loads: dict[str, Load] = field(default_factory=dict)
     _peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
 
@@ -98,10 +100,33 @@
         )
 
     def for_stream(
-        self, service: str, now_ms: float, exclude: Collection[Incarnation] = ()
+        self,
+        service: str,
+        now_ms: float,
+        exclude: Collection[Incarnation] = (),
+        prompt: Prompt | None = None,
     ) -> ListedUpstream | None:
-        """Choose where a stream's prompt is read."""
-        return self._cheapest(service, now_ms, exclude, self._stream_cost)
+        """Choose where a stream's prompt is read, or need not be."""
+
+        def cost(upstream: ListedUpstream, now_ms: float) -> float:
+            kept = 0.0
+            if prompt is not None:
+                kept = self.prompts.kept_share(upstream.incarnation, prompt, now_ms)
+            saved_ms = kept * self.options.prompt_ms
+            return self._stream_cost(upstream, now_ms) - saved_ms
+
+        return self._cheapest(service, now_ms, exclude, cost)
+
+    def to_ask_for_prompts(
+        self, service: str, now_ms: float
+    ) -> tuple[ListedUpstream, ...]:
+        """Return who may keep a prompt and was not asked a short time ago."""
+        return tuple(
+            item
+            for item in self._some(service, now_ms)
+            if not self.health.is_avoided(item.incarnation, now_ms)
+            and not self.prompts.is_known(item.incarnation, now_ms)
+        )
 
     def for_call(
         self, service: str, now_ms: float, exclude: Collection[Incarnation] = ()
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -16,7 +16,7 @@
     "AnswerHead",
     "ConfigReading",
     "DirectoryStore",
-    "RunCopier",
+    "EngineClient",
     "UpstreamChanges",
     "UpstreamListing",
     "WireFormat",
@@ -78,8 +78,8 @@
         """Close the connections."""
 
 
-class RunCopier(Protocol):
-    """Have engines copy the memory of their runs to each other."""
+class EngineClient(Protocol):
+    """Ask engines to copy their runs, and what they keep."""
 
     async def copy_run(
         self, request: CallerRequest, source: ListedUpstream, keeper: ListedUpstream
@@ -89,6 +89,9 @@
     async def drop_copy(self, copy: CopySource) -> None:
         """Free a copy at both ends; raises `UpstreamError`."""
 
+    async def list_prompts(self, upstream: ListedUpstream) -> Mapping[str, int]:
+        """Return the tokens kept of each part; raises `UpstreamError`."""
+
 
 @dataclass(frozen=True)
 class AnswerHead:
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -18,10 +18,12 @@
     Failure,
     Fault,
     Finish,
+    ListPrompts,
     Probe,
     Send,
 )
 from bronzeline_kernel.forwarding.placement import Placement
+from bronzeline_kernel.forwarding.prompt_index import Prompt
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
@@ -67,6 +69,7 @@
     n_unreachable: int = 0
     n_lost: int = 0
     n_deaths: int = 0
+    _lists_due_ms: float | None = None
     _tried: set[Incarnation] = field(default_factory=set)
     _tried_again: set[Incarnation] = field(default_factory=set)
 
@@ -84,6 +87,17 @@
         copy = self.inherited
         if copy is not None and self._is_kept(copy.keeper, now_ms):
             return [self._send(copy.keeper, now_ms, copy)]
+        asked = self._who_may_keep_prompt(now_ms)
+        if asked:
+            self._lists_due_ms = now_ms + self.options.list_wait_ms
+            return [ListPrompts(asked)]
+        return self._send_prompt(now_ms)
+
+    def prompts_listed(self, now_ms: float) -> list[Action]:
+        """Take in that the upstreams listed the prompts that they keep."""
+        if self.is_over or self._lists_due_ms is None:
+            return []
+        self._lists_due_ms = None
         return self._send_prompt(now_ms)
 
     def copy(self, now_ms: float) -> CopySource | None:
@@ -155,10 +169,13 @@
     def tick(self, now_ms: float) -> list[Action]:
         """Look at the time."""
         attempt = self.attempt
-        if self.is_over or attempt is None:
+        if self.is_over:
             return []
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
+        if attempt is None:
+            is_due = self._lists_due_ms is not None and now_ms >= self._lists_due_ms
+            return self.prompts_listed(now_ms) if is_due else []
         if not self.route.is_resumable:
             # It can go on nowhere else, and may yet be answered here.
             return []
@@ -326,11 +343,29 @@
             return self._fail_unserved("retry budget spent")
         return self._send_prompt(now_ms)
 
+    def _who_may_keep_prompt(self, now_ms: float) -> tuple[ListedUpstream, ...]:
+        """Return who to ask for the prompt of a request that came back.
+
+        Its prompt was read a short time ago, by an upstream that this router
+        doesn't know; reading it again may take the time that is left.
+        """
+        request = self.request
+        if not self.route.is_resumable or not request.own_part_id:
+            return ()
+        left_ms = self.deadline_ms - now_ms
+        is_late = left_ms < self.options.returned_share * self.route.timeout_ms
+        if not request.after_event and not is_late:
+            return ()
+        return self.placement.to_ask_for_prompts(self.service, now_ms)
+
     def _send_prompt(self, now_ms: float) -> list[Action]:
-        upstream = self.placement.for_stream(self.service, now_ms, self._tried)
+        request = self.request
+        prompt = Prompt(request.own_part_id, request.n_prompt_tokens)
+        place = self.placement.for_stream
+        upstream = place(self.service, now_ms, self._tried, prompt)
         if upstream is None and self._tried:
             self._tried.clear()
-            upstream = self.placement.for_stream(self.service, now_ms)
+            upstream = place(self.service, now_ms, (), prompt)
         if upstream is None:
             return self._fail_unserved("no upstream")
         return [self._send(upstream, now_ms, None)]
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
@@ -2,6 +2,7 @@
 
 from nose2.tools import params
 
+from bronzeline_kernel.forwarding import Prompt
 from bronzeline_kernel.tests.forwarding.samples import (
     ENGINES,
     fleet,
@@ -46,6 +47,28 @@
             self.placement.for_stream(ENGINES, 1.0).upstream_id, "zone-a-0"
         )
 
+    def test_a_prompt_goes_where_it_is_kept(self):
+        keeper = upstream("zone-b-1")
+        self.placement.prompts.put(keeper.incarnation, {"own": 5_000}, 0.0)
+        for part_id, expected in (("own", "zone-b"), ("other", "zone-a")):
+            prompt = Prompt(part_id, 5_000)
+            chosen = self.placement.for_stream(ENGINES, 1.0, (), prompt)
+            self.assertEqual(chosen.availability_zone, expected)
+
+    def test_a_prompt_is_read_anew_rather_than_wait_for_its_keeper(self):
+        keeper = upstream("zone-b-1")
+        self.placement.prompts.put(keeper.incarnation, {"own": 5_000}, 0.0)
+        self.placement.load("zone-b-1").n_prompts = 2
+        chosen = self.placement.for_stream(ENGINES, 1.0, (), Prompt("own", 5_000))
+        self.assertEqual(chosen.availability_zone, "zone-a")
+
+    def test_who_was_asked_a_short_time_ago_is_not_asked_again(self):
+        self.placement.prompts.put(upstream("zone-b-1").incarnation, {}, 0.0)
+        self.placement.health.failed(upstream("zone-a-0").incarnation, 0.0)
+        asked = self.placement.to_ask_for_prompts(ENGINES, 1.0)
+        names = sorted(item.upstream_id for item in asked)
+        self.assertEqual(names, ["zone-a-1", "zone-b-0", "zone-c-0", "zone-c-1"])
+
     def test_a_copy_lies_in_another_zone(self):
         primary = self.placement.for_stream(ENGINES, 0.0)
         for _ in range(20):
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -12,6 +12,7 @@
     Failure,
     Fault,
     Finish,
+    ListPrompts,
     Probe,
     Send,
     StreamOptions,
@@ -35,7 +36,7 @@
         self.placement = placement(fleet(per_zone))
         self.now_ms = 0.0
         self.run = StreamRun(
-            request(),
+            run_fields.pop("request", request()),
             run_fields.pop("route", route()),
             ENGINES,
             self.placement,
@@ -379,3 +380,57 @@
         driver = Driver(per_zone=0)
         end = driver.start()
         self.assertEqual(end, Fail(Failure.NOT_RUN, "no upstream", 500.0))
+
+
+class ReturnedRequestTests(unittest.TestCase):
+    """A request that came back finds the engine that has read its prompt."""
+
+    @params(
+        ({"after_event": 5}, {}, True),
+        ({"budget_ms": 4_000.0}, {"deadline_ms": 4_000.0}, True),
+        ({}, {}, False),
+        ({"after_event": 5, "own_part_id": ""}, {}, False),
+        ({"after_event": 5}, {"route": route(is_resumable=False)}, False),
+    )
+    def test_upstreams_are_asked_only_for_such_a_request(
+        self, request_fields, run_fields, is_asked
+    ):
+        fields = {"own_part_id": "own", **request_fields}
+        driver = Driver(request=request(**fields))
+        for name, value in run_fields.items():
+            setattr(driver.run, name, value)
+        first = driver.start()
+        self.assertEqual(isinstance(first, ListPrompts), is_asked)
+        self.assertEqual(isinstance(first, Send), not is_asked)
+
+    def test_the_request_goes_to_the_upstream_that_keeps_its_prompt(self):
+        driver = Driver(request=request(after_event=5, own_part_id="own"))
+        asked = driver.start().upstreams
+        keeper = next(item for item in asked if item.availability_zone == "zone-c")
+        kept = {"own": 5_000}
+        driver.placement.prompts.put(keeper.incarnation, kept, driver.now_ms)
+        sent = driver.take(driver.run.prompts_listed(driver.now_ms))[0]
+        self.assertEqual((sent.upstream, sent.after_event), (keeper, 5))
+        self.assertEqual(driver.run.prompts_listed(driver.now_ms), [])
+
+    def test_lists_that_do_not_come_are_not_waited_for(self):
+        driver = Driver(request=request(after_event=5, own_part_id="own"))
+        driver.start()
+        found = driver.wait(300.0)
+        self.assertEqual([type(action) for _, action in found], [Send])
+        self.assertLessEqual(found[0][0], OPTIONS.list_wait_ms + 10.0)
+
+    def test_a_caller_that_leaves_meanwhile_gets_nothing_sent(self):
+        driver = Driver(request=request(after_event=5, own_part_id="own"))
+        driver.start()
+        self.assertEqual(driver.run.cancel(), [])
+        self.assertEqual(driver.run.prompts_listed(1.0), [])
+        self.assertEqual(driver.wait(300.0), [])
+
+    def test_a_deadline_that_passes_meanwhile_ends_it(self):
+        driver = Driver(request=request(after_event=5, own_part_id="own"))
+        driver.run.deadline_ms = 50.0
+        driver.start()
+        found = driver.wait(200.0)
+        self.assertEqual([type(action) for _, action in found], [Fail])
+        self.assertEqual(found[0][1].failure, Failure.TIMED_OUT)
