Answer 408 to a request whose head takes too long

Cause: the library's server has one timer for the idle time and the head, and closes without a word; so a head had the idle limit of 15 s in place of the configuration's 3 s, and its caller could not know that nothing had run.

Change: `HeadTimer` times each head from its first byte, through the hook that the library offers to streams of other kinds, and answers 408. Connections are forgotten when the server says that they closed.

Ruled out: a weak dictionary by stream (the timer holds the stream, so it never empties); the library's timer (it runs while callers may be idle).

A test sends half a head, as the first and as the second request of a connection: closed without an answer before, 408 after 300 ms now.

--- a/packages/daemon/bronzeline_daemon/forwarding/front.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/front.py
@@ -17,6 +17,7 @@
 )
 
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
+from bronzeline_daemon.forwarding.head_timer import HeadTimer
 from bronzeline_kernel.exceptions import RequestError
 from bronzeline_kernel.forwarding import CallerLimits, CallerRequest, WireFormat
 
@@ -29,6 +30,17 @@
 HEADER_OVERHEAD_BYTES = 4
 
 
+class CallerServer(HTTPServer):
+    """Tell when a connection has closed, which the library's server keeps."""
+
+    on_closed: Callable[[object], None]
+
+    def on_close(self, server_conn: object) -> None:
+        """Take in that a connection has closed."""
+        super().on_close(server_conn)
+        self.on_closed(server_conn)
+
+
 class Front(HTTPServerConnectionDelegate):
     """Serve callers within the limits of the configuration."""
 
@@ -41,7 +53,9 @@
         self.wire = wire
         self.limits = limits
         self.on_request = on_request
-        self.server = HTTPServer(self, max_header_size=MAX_HEAD_BYTES)
+        self.server = CallerServer(self, max_header_size=MAX_HEAD_BYTES)
+        self.server.on_closed = self._forget
+        self._head_timers: dict[object, HeadTimer] = {}
         self.apply_limits()
 
     def apply_limits(self) -> None:
@@ -58,14 +72,27 @@
     ) -> HTTPMessageDelegate:
         """Return who reads the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return RequestReader(self, request_conn)
+        timer = self._head_timers.get(server_conn)
+        if timer is None:
+            timer = HeadTimer(request_conn.stream)
+            self._head_timers[server_conn] = timer
+        timer.expect(self.limits().header_timeout_ms)
+        return RequestReader(self, request_conn, timer)
+
+    def _forget(self, server_conn: object) -> None:
+        timer = self._head_timers.pop(server_conn, None)
+        if timer is not None:
+            timer.stop()
 
 
 class RequestReader(HTTPMessageDelegate):
     """Read one request to its end."""
 
-    def __init__(self, front: Front, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, front: Front, connection: HTTP1Connection, head_timer: HeadTimer
+    ) -> None:
         self._front = front
+        self._head_timer = head_timer
         self._connection = connection
         self._limits = front.limits()
         self._answer = CallerAnswer(connection)
@@ -82,6 +109,7 @@
     ) -> None:
         """Take the head; refuse one that is over the limits."""
         assert isinstance(start_line, RequestStartLine)
+        self._head_timer.stop()
         self._start_line = start_line
         self._headers = list(headers.get_all())
         n_head_bytes = sum(
