Spread copies by peers' reports, tell of replaced engines, refuse the hopeless

Change: load reports carry copies, and a keeper is chosen by all work that is known of it; a router that meets another process at an engine's address tells its peers; a prompt that can't be read before the deadline is refused as not run, before anything was sent. Records and loads of upstreams that are listed no more are forgotten every 5 s (they grew with each restart of an engine).

--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -24,6 +24,8 @@
     RunDirectory,
     RunEnded,
     RunRecord,
+    UpstreamReplaced,
+    WorkByUpstream,
     ZoneLost,
 )
 from bronzeline_kernel.protocols import Clock
@@ -55,6 +57,7 @@
     ProofGiven,
     RunEnded,
     RunRecord,
+    UpstreamReplaced,
     ZoneLost,
 )
 
@@ -100,6 +103,7 @@
         self.on_proof_asked: Callable[[ProofAsked, RouterEntry], None] = _ignore_ask
         self.on_proof_given: Callable[[ProofGiven], None] = _ignore_proof
         placement.health.on_zone_failed = self._tell_zone_lost
+        placement.health.on_replaced = self._tell_replaced
 
     async def start(self) -> None:
         """Listen for datagrams, and begin to find peers."""
@@ -173,8 +177,12 @@
                 self.on_proof_given(message)
             case EngineLost():
                 self._killers.engine_lost(message, now_ms, is_own=False)
-            case LoadReport(router_id, prompts, streams):
-                self._placement.take_peer_load(router_id, prompts, streams, now_ms)
+            case LoadReport(router_id, prompts, streams, copies):
+                work = WorkByUpstream(prompts, streams, copies)
+                self._placement.take_peer_work(router_id, work, now_ms)
+            case UpstreamReplaced(upstream_id, started_at_ms):
+                replaced = (upstream_id, started_at_ms)
+                self._placement.health.peer_saw_replaced(replaced, now_ms)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram could not be delivered."""
@@ -187,6 +195,9 @@
             self._zone_told_at_ms[zone] = now_ms
             self._send(ZoneLost(*zone), self._peers)
 
+    def _tell_replaced(self, upstream: tuple[str, int]) -> None:
+        self._send(UpstreamReplaced(*upstream), self._peers)
+
     def _peer(self, router_id: str) -> RouterEntry | None:
         return next((x for x in self._peers if x.router_id == router_id), None)
 
@@ -230,21 +241,26 @@
 
     async def _report_load(self) -> None:
         """Tell the zone of every change, and all of changes in prompts."""
-        last: tuple[dict[str, int], dict[str, int]] = ({}, {})
+        last = WorkByUpstream()
         n_same = 0
         while True:
             await asyncio.sleep(REPORT_EVERY_S)
             for lost in self._killers.settle(self._clock.now_ms()):
                 log_event("engine_died", upstream_id=lost.upstream_id)
                 self._send(lost, self._peers)
-            load = self._placement.own_load()
-            has_new_prompts = load[0] != last[0]
-            n_same = n_same + 1 if load == last else 0
-            last = load
-            is_idle = not load[1] and n_same > REPEAT_REPORT_EVERY
+            work = self._placement.own_work()
+            has_new_prompts = work.prompts != last.prompts
+            n_same = n_same + 1 if work == last else 0
+            last = work
+            is_idle = not work.streams and n_same > REPEAT_REPORT_EVERY
             if is_idle or n_same % REPEAT_REPORT_EVERY:
                 continue
-            report = LoadReport(self._own.router_id, *load)
+            report = LoadReport(
+                self._own.router_id,
+                dict(work.prompts),
+                dict(work.streams),
+                dict(work.copies),
+            )
             self._send(report, self._some(self._in_zone()))
             if has_new_prompts:
                 self._send(report, self._some(self._in_zone(is_own=False)))
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -36,8 +36,8 @@
 # Readiness ends before the lease does, so that the balancer, which asks once
 # a second and wants two misses, has moved the callers by then.
 READY_SHARE = 0.72
-# Dropped log lines are told this often, where there are any.
-DROPPED_REPORT_S = 5.0
+# Dropped log lines are told, and records of what is gone forgotten, this often.
+TIDY_EVERY_S = 5.0
 STOP_POLL_S = 0.05
 LISTEN_BACKLOG = 512
 
@@ -80,7 +80,7 @@
         self._metrics_port = metrics_port
         self._metrics_server = MetricsServer(self.service.metrics)
         self._readiness = HTTPServer(self._answer_readiness)
-        self._log_task: asyncio.Task[None] | None = None
+        self._tidy_task: asyncio.Task[None] | None = None
         self.stopped = asyncio.Event()
 
     @property
@@ -92,7 +92,7 @@
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
         self.watch.start()
-        self._log_task = asyncio.create_task(self._report_dropped_lines())
+        self._tidy_task = asyncio.create_task(self._tidy())
         await self.service.peers.start()
         self.proofs.start()
         for server, address in (
@@ -124,8 +124,8 @@
 
     def close(self) -> None:
         """End the background work and listen no more."""
-        if self._log_task is not None:
-            self._log_task.cancel()
+        if self._tidy_task is not None:
+            self._tidy_task.cancel()
         self.watch.stop()
         self.proofs.stop()
         self.service.peers.stop()
@@ -133,10 +133,10 @@
             server.stop()
         self._store.close()
 
-    async def _report_dropped_lines(self) -> None:
+    async def _tidy(self) -> None:
         while True:
-            await asyncio.sleep(DROPPED_REPORT_S)
-            self.service.report_dropped_lines()
+            await asyncio.sleep(TIDY_EVERY_S)
+            self.service.tidy()
 
     async def _finish(self, plan: StopPlan) -> None:
         while self.clock.now_ms() < plan.ends_at_ms:
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -172,9 +172,10 @@
             relay = CallRelay(self._parts, call, request, workspace, answer, name)
         relay.start(lambda report: self._take_report(route.kind, report))
 
-    def report_dropped_lines(self) -> None:
-        """Say which log lines were dropped."""
+    def tidy(self) -> None:
+        """Say which log lines were dropped, and forget what is gone."""
         self._logs.report_dropped()
+        self.placement.forget_gone()
 
     def _is_blocked(self, name: str) -> bool:
         return self._killers.is_blocked(name, self._clock.now_ms())
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -47,9 +47,15 @@
     ProofGiven,
     RouterEntry,
     RunEnded,
+    UpstreamReplaced,
     ZoneLost,
 )
-from bronzeline_kernel.forwarding.placement import Load, Placement, PlacementOptions
+from bronzeline_kernel.forwarding.placement import (
+    Load,
+    Placement,
+    PlacementOptions,
+    WorkByUpstream,
+)
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
 from bronzeline_kernel.forwarding.proof_source import (
     ProofAsk,
@@ -142,8 +148,10 @@
     "UpstreamChanges",
     "UpstreamHealth",
     "UpstreamListing",
+    "UpstreamReplaced",
     "UpstreamSet",
     "WireFormat",
+    "WorkByUpstream",
     "WorkKind",
     "WorkspaceKeys",
     "ZoneLost",
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -57,6 +57,7 @@
         self._records: dict[Incarnation, Record] = {}
         self._zone_failed_at_ms: dict[Zone, float] = {}
         self.on_zone_failed: Callable[[Zone], None] = _ignore
+        self.on_replaced: Callable[[Incarnation], None] = _ignore
 
     def succeeded(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in an answer, or an event, that the upstream gave."""
@@ -129,6 +130,11 @@
 
     def was_replaced(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in that another process answers at the upstream's address."""
+        self.peer_saw_replaced(upstream, now_ms)
+        self.on_replaced(upstream)
+
+    def peer_saw_replaced(self, upstream: Incarnation, now_ms: float) -> None:
+        """Take in that a peer met another process at the upstream's address."""
         record = self._record(upstream)
         record.avoid_until_ms = now_ms + self._options.replaced_avoid_ms
 
@@ -160,5 +166,5 @@
         return self._records.setdefault(upstream, Record())
 
 
-def _ignore(zone: Zone) -> None:
-    """Take a zone's failure where nobody asked for it."""
+def _ignore(subject: tuple[object, object]) -> None:
+    """Take a finding where nobody asked for it."""
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -14,6 +14,7 @@
     "RouterEntry",
     "RunEnded",
     "RunRecord",
+    "UpstreamReplaced",
     "ZoneLost",
 ]
 
@@ -37,11 +38,12 @@
 
 @dataclass(frozen=True)
 class LoadReport:
-    """Tell a router's prompts and streams on each upstream."""
+    """Tell a router's prompts, streams and copies on each upstream."""
 
     router_id: str
     prompts: dict[str, int]
     streams: dict[str, int]
+    copies: dict[str, int]
 
 
 @dataclass(frozen=True)
@@ -52,6 +54,14 @@
     availability_zone: str
 
 
+@dataclass(frozen=True)
+class UpstreamReplaced:
+    """Tell that another process answers at an upstream's address."""
+
+    upstream_id: str
+    started_at_ms: int
+
+
 @dataclass(frozen=True)
 class ProofAsked:
     """Ask a peer how current it is, and for the changes that it has."""
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from bronzeline_kernel.forwarding.health import UpstreamHealth
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 
-__all__ = ["Load", "Placement", "PlacementOptions"]
+__all__ = ["Load", "Placement", "PlacementOptions", "WorkByUpstream"]
 
 Incarnation = tuple[str, int]
 _Cost = Callable[[ListedUpstream, float], float]
@@ -55,12 +55,20 @@
 
 
 @dataclass(frozen=True)
-class PeerLoad:
-    """Hold what a peer said of its work on each upstream, and when."""
+class WorkByUpstream:
+    """Count a router's work on each upstream that has some, by its id."""
+
+    prompts: Mapping[str, int] = field(default_factory=dict)
+    streams: Mapping[str, int] = field(default_factory=dict)
+    copies: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class PeerWork:
+    """Hold what a peer said of its work, and when."""
 
     at_ms: float
-    prompts: Mapping[str, int]
-    streams: Mapping[str, int]
+    work: WorkByUpstream
 
 
 @dataclass
@@ -74,31 +82,36 @@
     options: PlacementOptions = field(default_factory=PlacementOptions)
     prompts: PromptIndex = field(default_factory=PromptIndex)
     _loads: dict[str, Load] = field(default_factory=dict)
-    _peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
+    _peer_work: dict[str, PeerWork] = field(default_factory=dict)
 
     def load(self, upstream_id: str) -> Load:
         """Return the own load on an upstream, to be changed in place."""
         return self._loads.setdefault(upstream_id, Load())
 
-    def take_peer_load(
-        self,
-        router_id: str,
-        prompts: Mapping[str, int],
-        streams: Mapping[str, int],
-        now_ms: float,
+    def take_peer_work(
+        self, router_id: str, work: WorkByUpstream, now_ms: float
     ) -> None:
-        """Take in a peer's load, in place of what it said before."""
-        self._peer_loads[router_id] = PeerLoad(now_ms, prompts, streams)
-
-    def own_load(self) -> tuple[dict[str, int], dict[str, int]]:
-        """Return the own prompts and streams on each upstream."""
-        prompts = {key: item.n_prompts for key, item in self._loads.items()}
-        streams = {key: item.n_streams for key, item in self._loads.items()}
-        return (
-            {key: number for key, number in prompts.items() if number},
-            {key: number for key, number in streams.items() if number},
+        """Take in a peer's work, in place of what it said before."""
+        self._peer_work[router_id] = PeerWork(now_ms, work)
+
+    def own_work(self) -> WorkByUpstream:
+        """Return the own work on each upstream."""
+        loads = self._loads.items()
+        return WorkByUpstream(
+            {key: item.n_prompts for key, item in loads if item.n_prompts},
+            {key: item.n_streams for key, item in loads if item.n_streams},
+            {key: item.n_copies for key, item in loads if item.n_copies},
         )
 
+    def forget_gone(self) -> None:
+        """Forget what is known of upstreams that are listed no more."""
+        self.health.keep_only(self.upstreams.incarnations())
+        self._loads = {
+            key: item
+            for key, item in self._loads.items()
+            if item != Load() or self.upstreams.get(key) is not None
+        }
+
     def for_stream(
         self,
         service: str,
@@ -215,28 +228,23 @@
         return self.random.choice(best)
 
     def _stream_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
-        load = self.load(upstream.upstream_id)
+        load = self._whole_load(upstream.upstream_id, now_ms)
         options = self.options
-        n_peer_prompts, n_peer_streams = self._peers_on(upstream.upstream_id, now_ms)
         slowness = self.health.slowness(upstream.incarnation, now_ms)
         return (
             slowness * options.prompt_ms
-            + (load.n_prompts + n_peer_prompts) * options.prompt_ms
-            + (load.n_streams + n_peer_streams) * options.stream_ms
+            + load.n_prompts * options.prompt_ms
+            + load.n_streams * options.stream_ms
             + load.n_copies * options.copy_ms
             + self._far(upstream, options.far_stream_ms)
             + self._failures(upstream, now_ms)
         )
 
     def _copy_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
-        load = self.load(upstream.upstream_id)
-        options = self.options
-        return (
-            load.n_prompts * options.stream_ms
-            + load.n_streams * options.stream_ms
-            + load.n_copies * options.stream_ms
-            + self._failures(upstream, now_ms)
-        )
+        load = self._whole_load(upstream.upstream_id, now_ms)
+        # Each takes about as much of the memory as any other.
+        n_kept = load.n_prompts + load.n_streams + load.n_copies
+        return n_kept * self.options.stream_ms + self._failures(upstream, now_ms)
 
     def _call_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
         load = self.load(upstream.upstream_id)
@@ -246,15 +254,16 @@
             + self._failures(upstream, now_ms)
         )
 
-    def _peers_on(self, upstream_id: str, now_ms: float) -> tuple[int, int]:
-        fresh = [
-            item
-            for item in self._peer_loads.values()
-            if now_ms - item.at_ms < self.options.peer_load_life_ms
-        ]
-        n_prompts = sum(item.prompts.get(upstream_id, 0) for item in fresh)
-        n_streams = sum(item.streams.get(upstream_id, 0) for item in fresh)
-        return n_prompts, n_streams
+    def _whole_load(self, upstream_id: str, now_ms: float) -> Load:
+        """Add what peers said a short time ago to the own load."""
+        whole = replace(self.load(upstream_id))
+        for item in self._peer_work.values():
+            if now_ms - item.at_ms >= self.options.peer_load_life_ms:
+                continue
+            whole.n_prompts += item.work.prompts.get(upstream_id, 0)
+            whole.n_streams += item.work.streams.get(upstream_id, 0)
+            whole.n_copies += item.work.copies.get(upstream_id, 0)
+        return whole
 
     def _far(self, upstream: ListedUpstream, cost_ms: float) -> float:
         return 0.0 if upstream.availability_zone == self.own_zone else cost_ms
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -368,8 +368,20 @@
             upstream = place(self.service, now_ms, (), prompt)
         if upstream is None:
             return self._fail_unserved("no upstream")
+        if not self.n_sent and self._is_hopeless(upstream, prompt, now_ms):
+            return self._fail_unserved("too little time for the prompt")
         return [self._send(upstream, now_ms, None)]
 
+    def _is_hopeless(
+        self, upstream: ListedUpstream, prompt: Prompt, now_ms: float
+    ) -> bool:
+        """Say whether the deadline passes before the prompt can be read."""
+        index = self.placement.prompts
+        kept_share = index.kept_share(upstream.incarnation, prompt, now_ms)
+        unread_tokens = (1.0 - kept_share) * prompt.n_tokens
+        read_ms = unread_tokens / self.options.prompt_tokens_per_ms
+        return now_ms + read_ms >= self.deadline_ms
+
     def _send(
         self, upstream: ListedUpstream, now_ms: float, copy: CopySource | None
     ) -> Send:
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -97,6 +97,10 @@
         """Return an upstream's entry."""
         return self._listed.get(upstream_id)
 
+    def incarnations(self) -> set[tuple[str, int]]:
+        """Return the starts of upstreams that are listed."""
+        return {item.incarnation for item in self._listed.values()}
+
     def is_superseded(self, entry: ListedUpstream) -> bool:
         """Say whether a later start is listed at the same address."""
         self._derive()
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/health_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/health_tests.py
@@ -55,6 +55,15 @@
         later = self.health.slowness(ENGINE, half_life_ms)
         self.assertAlmostEqual(later, expected / 2.0)
 
+    def test_a_peers_finding_of_a_new_process_is_not_passed_on(self):
+        told = []
+        self.health.on_replaced = told.append
+        self.health.peer_saw_replaced(ENGINE, 0.0)
+        self.assertTrue(self.health.is_avoided(ENGINE, 1.0))
+        self.assertEqual(told, [])
+        self.health.was_replaced(ENGINE, 0.0)
+        self.assertEqual(told, [ENGINE])
+
     def test_only_own_findings_are_passed_on(self):
         told = []
         self.health.on_zone_failed = told.append
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
@@ -2,7 +2,7 @@
 
 from nose2.tools import params
 
-from bronzeline_kernel.forwarding import Prompt
+from bronzeline_kernel.forwarding import Prompt, WorkByUpstream
 from bronzeline_kernel.tests.forwarding.samples import (
     ENGINES,
     fleet,
@@ -29,7 +29,7 @@
     @params((0.0, True), (3_000.0, False))
     def test_peers_prompts_count_while_they_are_fresh(self, now_ms, counts):
         prompts = {"zone-a-0": 1, "zone-a-1": 1}
-        self.placement.take_peer_load("peer", prompts, {}, 0.0)
+        self.placement.take_peer_work("peer", WorkByUpstream(prompts), 0.0)
         chosen = self.placement.for_stream(ENGINES, now_ms)
         self.assertEqual(chosen.availability_zone != "zone-a", counts)
 
@@ -41,8 +41,8 @@
             self.assertEqual(chosen.upstream_id, "zone-a-1")
 
     def test_a_peers_new_report_takes_the_place_of_the_old(self):
-        self.placement.take_peer_load("peer", {"zone-a-0": 9}, {}, 0.0)
-        self.placement.take_peer_load("peer", {"zone-a-1": 9}, {}, 0.0)
+        self.placement.take_peer_work("peer", WorkByUpstream({"zone-a-0": 9}), 0.0)
+        self.placement.take_peer_work("peer", WorkByUpstream({"zone-a-1": 9}), 0.0)
         self.assertEqual(
             self.placement.for_stream(ENGINES, 1.0).upstream_id, "zone-a-0"
         )
@@ -114,4 +114,28 @@
     def test_the_own_load_tells_only_what_runs(self):
         self.placement.load("zone-a-0").n_prompts = 1
         self.placement.load("zone-a-1").n_streams = 2
-        self.assertEqual(self.placement.own_load(), ({"zone-a-0": 1}, {"zone-a-1": 2}))
+        self.placement.load("zone-b-0").n_copies = 3
+        expected = WorkByUpstream({"zone-a-0": 1}, {"zone-a-1": 2}, {"zone-b-0": 3})
+        self.assertEqual(self.placement.own_work(), expected)
+
+    def test_peers_copies_are_spread_over_all_keepers(self):
+        for router_id, keeper in (("x", "zone-b-0"), ("y", "zone-b-1")):
+            work = WorkByUpstream(copies={keeper: 1})
+            self.placement.take_peer_work(router_id, work, 0.0)
+        keepers = {
+            self.placement.for_copy(upstream("zone-a-0"), 1.0).availability_zone
+            for _ in range(20)
+        }
+        self.assertEqual(keepers, {"zone-c"})
+
+    def test_upstreams_that_are_gone_are_forgotten(self):
+        gone = [upstream("zone-a-0"), upstream("zone-a-1")]
+        for item in gone:
+            self.placement.health.failed(item.incarnation, 0.0)
+            self.placement.upstreams.remove(item.upstream_id, 0.0)
+        self.placement.load("zone-a-0")
+        self.placement.load("zone-a-1").n_streams = 1
+        self.placement.forget_gone()
+        self.assertEqual(set(self.placement._loads), {"zone-a-1"})
+        score = self.placement.health.failure_score(gone[0].incarnation, 0.0)
+        self.assertEqual(score, 0.0)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -434,3 +434,19 @@
         found = driver.wait(200.0)
         self.assertEqual([type(action) for _, action in found], [Fail])
         self.assertEqual(found[0][1].failure, Failure.TIMED_OUT)
+
+    @params(
+        (900.0, 0, Failure.NOT_RUN),
+        (1_100.0, 0, None),
+        (900.0, 5_000, None),
+        (100.0, 4_000, Failure.NOT_RUN),
+    )
+    def test_a_prompt_that_can_not_be_read_in_time_is_refused_at_once(
+        self, left_ms, n_kept, failure
+    ):
+        driver = Driver(request=request(after_event=5, own_part_id="own"))
+        driver.run.deadline_ms = left_ms
+        for item in driver.start().upstreams:
+            driver.placement.prompts.put(item.incarnation, {"own": n_kept}, 0.0)
+        action = driver.take(driver.run.prompts_listed(0.0))[0]
+        self.assertEqual(getattr(action, "failure", None), failure)
