Log what a choice was made against, from which evidence, and beliefs

Cause: the line of an attempt named the upstream and not why, so a stream placed on a busy engine could not be told from one placed in ignorance; that an upstream was avoided, full, replaced, slow or back, that a zone was suspect and that a request was kept out left no line at all.

Change: `Placement` returns a `Choice` (upstreams compared, the next best, both costs, the age of the oldest report that counted and of the upstream's last sign of life); the line of an attempt carries it, with what is left of the retry budget. `UpstreamHealth` and `KillerGuard` tell changes of belief, which the service logs within the limits per kind. A request is taken for one that came back below 0.75 of its route's time, not 0.8: a caller with a fifth less time than the route allows had engines asked for nothing.

--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -19,6 +19,7 @@
     Action,
     AnswerHead,
     CallerRequest,
+    Choice,
     CopyRun,
     CopySource,
     DropCopy,
@@ -200,6 +201,8 @@
             after_event=action.after_event,
             copy_from=_name(action.copy_from.keeper if action.copy_from else None),
             copy_to=_name(action.copy_to),
+            budget_left=round(self._machine.budget.n_left, 1),
+            **_grounds(action.choice),
         )
         attempt.start()
 
@@ -318,6 +321,20 @@
     return upstream.upstream_id if upstream else ""
 
 
+def _grounds(choice: Choice | None) -> dict[str, object]:
+    """Say against what an upstream was chosen, and from evidence of which age."""
+    if choice is None:
+        return {}
+    numbers = {
+        "cost_ms": choice.cost_ms,
+        "next_cost_ms": choice.next_cost_ms,
+        "reports_age_ms": choice.reports_age_ms,
+        "sign_age_ms": choice.sign_age_ms,
+    }
+    known = {name: round(value) for name, value in numbers.items() if value is not None}
+    return {"n_compared": choice.n_compared, "next_id": choice.next_id, **known}
+
+
 def _way(action: Send) -> str:
     if action.copy_from is not None:
         return "copy"
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_parts.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_parts.py
@@ -12,6 +12,7 @@
 from bronzeline_daemon.forwarding.prober import Prober
 from bronzeline_daemon.forwarding.prompt_lists import PromptLists
 from bronzeline_daemon.log_limits import LogLimiter
+from bronzeline_kernel.admission import RetryBudget
 from bronzeline_kernel.forwarding import Action, Fault, KillerGuard, WireFormat
 from bronzeline_kernel.protocols import Clock
 
@@ -22,6 +23,7 @@
     """Decide on one request."""
 
     is_over: bool
+    budget: RetryBudget
 
     def start(self, now_ms: float) -> list[Action]:
         """Begin."""
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -19,6 +19,7 @@
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.forwarding import (
     Admitted,
+    BeliefChange,
     BudgetShare,
     CallerLimits,
     CallerRequest,
@@ -29,6 +30,7 @@
     ForwardingView,
     KillerGuard,
     Placement,
+    Quarantined,
     Refusal,
     Refused,
     RunDirectory,
@@ -85,6 +87,8 @@
         self.stop_plan: StopPlan | None = None
         self.metrics = ForwardingMetrics()
         self._logs = LogLimiter(clock, settings.router_id)
+        self.placement.health.on_belief = self._note_belief
+        self._killers.on_quarantined = self._note_quarantined
         self._parts = RelayParts(
             clock,
             self.channels,
@@ -112,12 +116,16 @@
             retry_after_ms = self._killers.retry_after_ms(name, now_ms)
             admitted = Refused(Refusal.QUARANTINED, "ends engines", retry_after_ms)
         if isinstance(admitted, Refused):
-            self._refuse(request, admitted, answer)
+            self._refuse(request, name, admitted, answer)
         else:
             self._forward(request, name, admitted, answer, now_ms)
 
     def _refuse(
-        self, request: CallerRequest, refused: Refused, answer: CallerAnswer
+        self,
+        request: CallerRequest,
+        name: str,
+        refused: Refused,
+        answer: CallerAnswer,
     ) -> None:
         headers = []
         if refused.retry_after_ms:
@@ -131,6 +139,24 @@
             reason=refused.reason,
             configuration_version=self._view.version,
             lease_age_ms=self._lease_age_ms(),
+            request_hash=name,
+        )
+
+    def _note_belief(self, change: BeliefChange) -> None:
+        self._logs.event(
+            "belief_changed",
+            subject=change.subject,
+            belief=change.belief.value,
+            for_ms=round(change.for_ms),
+            source="own" if change.is_own else "peer",
+        )
+
+    def _note_quarantined(self, found: Quarantined) -> None:
+        self._logs.warn(
+            "request_quarantined",
+            request_hash=found.request_hash,
+            upstream_ids=",".join(found.upstream_ids),
+            for_ms=round(found.for_ms),
         )
 
     def _lease_age_ms(self) -> int | None:
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -19,11 +19,17 @@
     WorkKind,
     WorkspaceKeys,
 )
-from bronzeline_kernel.forwarding.health import HealthOptions, UpstreamHealth
+from bronzeline_kernel.forwarding.health import (
+    Belief,
+    BeliefChange,
+    HealthOptions,
+    UpstreamHealth,
+)
 from bronzeline_kernel.forwarding.killers import (
     EngineLost,
     KillerGuard,
     KillerOptions,
+    Quarantined,
 )
 from bronzeline_kernel.forwarding.lease import FreshnessLease, LeaseTerms
 from bronzeline_kernel.forwarding.messages import (
@@ -51,6 +57,7 @@
     ZoneLost,
 )
 from bronzeline_kernel.forwarding.placement import (
+    Choice,
     Load,
     Placement,
     PlacementOptions,
@@ -89,12 +96,15 @@
     "Action",
     "Admitted",
     "AnswerHead",
+    "Belief",
+    "BeliefChange",
     "BudgetShare",
     "CallOptions",
     "CallRun",
     "CallerLimits",
     "CallerRequest",
     "ChangeLog",
+    "Choice",
     "ConfigReading",
     "CopyRun",
     "CopySource",
@@ -129,6 +139,7 @@
     "ProofGiven",
     "ProofOptions",
     "ProofSource",
+    "Quarantined",
     "Refusal",
     "Refused",
     "Route",
--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -133,17 +133,18 @@
     def _send(self, now_ms: float) -> list[Action]:
         busy = {item.incarnation for item in self._open.values()}
         exclude = self._tried | busy
-        upstream = self.placement.for_call(self.service, now_ms, exclude)
-        if upstream is None and self._tried and not self._open:
-            upstream = self.placement.for_call(self.service, now_ms)
-        if upstream is None:
+        choice = self.placement.for_call(self.service, now_ms, exclude)
+        if choice is None and self._tried and not self._open:
+            choice = self.placement.for_call(self.service, now_ms)
+        if choice is None:
             return self._fail_unserved("no upstream") if not self._open else []
+        upstream = choice.upstream
         self.n_sent += 1
         self.n_reached += 1
         self._open[self.n_sent] = upstream
         self.placement.load(upstream.upstream_id).n_calls += 1
         budget_ms = max(0.0, self.deadline_ms - now_ms)
-        return [Send(self.n_sent, upstream, budget_ms)]
+        return [Send(self.n_sent, upstream, budget_ms, choice=choice)]
 
     def _fail_lost(self, fault: Fault) -> list[Action]:
         if fault.is_not_run:
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -5,14 +5,37 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
-__all__ = ["HealthOptions", "UpstreamHealth"]
+__all__ = ["Belief", "BeliefChange", "HealthOptions", "UpstreamHealth"]
 
 Incarnation = tuple[str, int]
 # A service and an availability zone.
 Zone = tuple[str, str]
 
 
+class Belief(Enum):
+    """Say what is believed of an upstream, or of a zone's upstreams."""
+
+    AVOIDED = "avoided"
+    FULL = "full"
+    REPLACED = "replaced"
+    SLOW = "slow"
+    BACK = "back"
+    ZONE_SUSPECT = "zone_suspect"
+
+
+@dataclass(frozen=True)
+class BeliefChange:
+    """Hold a change of belief, and for how long it holds by itself."""
+
+    # An upstream's id, or a service and a zone.
+    subject: str
+    belief: Belief
+    for_ms: float
+    is_own: bool = True
+
+
 @dataclass(frozen=True)
 class HealthOptions:
     """Say how long upstreams are avoided after what they did."""
@@ -34,6 +57,8 @@
     slowness_half_life_ms: float = 5_000.0
     # How much a new measurement counts against those before.
     slowness_weight: float = 0.6
+    # By this share over the usual a prompt costs as much as half another.
+    slow_from: float = 0.5
 
 
 @dataclass
@@ -58,10 +83,13 @@
         self._zone_failed_at_ms: dict[Zone, float] = {}
         self.on_zone_failed: Callable[[Zone], None] = _ignore
         self.on_replaced: Callable[[Incarnation], None] = _ignore
+        self.on_belief: Callable[[BeliefChange], None] = _ignore
 
     def succeeded(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in an answer, or an event, that the upstream gave."""
         record = self._record(upstream)
+        if now_ms < record.avoid_until_ms:
+            self._believe(upstream, Belief.BACK, 0.0)
         record.n_failures_in_row = 0
         record.avoid_until_ms = 0.0
         record.last_answer_at_ms = now_ms
@@ -79,6 +107,9 @@
         weight = self._options.slowness_weight
         known = self.slowness(upstream, now_ms)
         record.slowness = weight * excess + (1.0 - weight) * known
+        if known < self._options.slow_from <= record.slowness:
+            for_ms = self._options.slowness_half_life_ms
+            self._believe(upstream, Belief.SLOW, for_ms)
         record.slowness_at_ms = now_ms
 
     def slowness(self, upstream: Incarnation, now_ms: float) -> float:
@@ -102,16 +133,17 @@
         record.avoid_until_ms = max(record.avoid_until_ms, now_ms + avoid_ms)
         record.failure_score = self.failure_score(upstream, now_ms) + 1.0
         record.scored_at_ms = now_ms
+        self._believe(upstream, Belief.AVOIDED, avoid_ms)
         return avoid_ms
 
     def zone_failed(self, zone: Zone, now_ms: float) -> None:
         """Take in that an upstream of a zone was lost without a word."""
-        self._zone_failed_at_ms[zone] = now_ms
+        self._suspect_zone(zone, now_ms, is_own=True)
         self.on_zone_failed(zone)
 
     def peer_lost_zone(self, zone: Zone, now_ms: float) -> None:
         """Take in that a peer lost an upstream of a zone without a word."""
-        self._zone_failed_at_ms[zone] = now_ms
+        self._suspect_zone(zone, now_ms, is_own=False)
 
     def is_zone_suspect(self, zone: Zone, upstream: Incarnation, now_ms: float) -> bool:
         """Say whether an upstream may have been lost with its zone."""
@@ -125,18 +157,19 @@
     def was_full(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in that the upstream rejected work for want of room."""
         record = self._record(upstream)
+        if now_ms >= record.avoid_until_ms:
+            self._believe(upstream, Belief.FULL, self._options.full_avoid_ms)
         until_ms = now_ms + self._options.full_avoid_ms
         record.avoid_until_ms = max(record.avoid_until_ms, until_ms)
 
     def was_replaced(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in that another process answers at the upstream's address."""
-        self.peer_saw_replaced(upstream, now_ms)
+        self._replace(upstream, now_ms, is_own=True)
         self.on_replaced(upstream)
 
     def peer_saw_replaced(self, upstream: Incarnation, now_ms: float) -> None:
         """Take in that a peer met another process at the upstream's address."""
-        record = self._record(upstream)
-        record.avoid_until_ms = now_ms + self._options.replaced_avoid_ms
+        self._replace(upstream, now_ms, is_own=False)
 
     def is_avoided(self, upstream: Incarnation, now_ms: float) -> bool:
         """Say whether the upstream should get no work now."""
@@ -162,9 +195,23 @@
         for upstream in self._records.keys() - upstreams:
             del self._records[upstream]
 
+    def _suspect_zone(self, zone: Zone, now_ms: float, *, is_own: bool) -> None:
+        self._zone_failed_at_ms[zone] = now_ms
+        for_ms = self._options.zone_suspect_ms
+        subject = "/".join(zone)
+        self.on_belief(BeliefChange(subject, Belief.ZONE_SUSPECT, for_ms, is_own))
+
+    def _replace(self, upstream: Incarnation, now_ms: float, *, is_own: bool) -> None:
+        for_ms = self._options.replaced_avoid_ms
+        self._record(upstream).avoid_until_ms = now_ms + for_ms
+        self.on_belief(BeliefChange(upstream[0], Belief.REPLACED, for_ms, is_own))
+
+    def _believe(self, upstream: Incarnation, belief: Belief, for_ms: float) -> None:
+        self.on_belief(BeliefChange(upstream[0], belief, for_ms))
+
     def _record(self, upstream: Incarnation) -> Record:
         return self._records.setdefault(upstream, Record())
 
 
-def _ignore(subject: tuple[object, object]) -> None:
+def _ignore(finding: object) -> None:
     """Take a finding where nobody asked for it."""
--- a/packages/kernel/bronzeline_kernel/forwarding/killers.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/killers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bronzeline_kernel.quarantine import BlameTracker
 
-__all__ = ["EngineLost", "KillerGuard", "KillerOptions"]
+__all__ = ["EngineLost", "KillerGuard", "KillerOptions", "Quarantined"]
 
 REASON = "engines_died"
 
@@ -21,6 +22,15 @@
     ran_ms: dict[str, float]
 
 
+@dataclass(frozen=True)
+class Quarantined:
+    """Hold a request that is kept out, and the upstreams that died of it."""
+
+    request_hash: str
+    upstream_ids: tuple[str, ...]
+    for_ms: float
+
+
 @dataclass(frozen=True)
 class KillerOptions:
     """Say when deaths are a zone's, and how long a request stays out."""
@@ -48,6 +58,7 @@
 
     options: KillerOptions = field(default_factory=KillerOptions)
     tracker: BlameTracker = field(default_factory=BlameTracker)
+    on_quarantined: Callable[[Quarantined], None] = lambda found: None
     _pending: list[PendingDeath] = field(default_factory=list)
 
     def engine_lost(self, lost: EngineLost, now_ms: float, is_own: bool) -> None:
@@ -98,6 +109,8 @@
         upstream_ids = self.tracker.upstream_ids(request_hash)
         expires_at_ms = now_ms + self.options.quarantine_ms
         self.tracker.quarantine(request_hash, "", upstream_ids, REASON, expires_at_ms)
+        for_ms = self.options.quarantine_ms
+        self.on_quarantined(Quarantined(request_hash, tuple(upstream_ids), for_ms))
 
     @staticmethod
     def _is_same_zone(one: EngineLost, other: EngineLost) -> bool:
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from bronzeline_kernel.forwarding.placement import Choice
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
 __all__ = [
@@ -98,6 +99,8 @@
     after_event: int = 0
     copy_from: CopySource | None = None
     copy_to: ListedUpstream | None = None
+    # None where the upstream follows from what ran before.
+    choice: Choice | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -10,7 +11,7 @@
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 
-__all__ = ["Load", "Placement", "PlacementOptions", "WorkByUpstream"]
+__all__ = ["Choice", "Load", "Placement", "PlacementOptions", "WorkByUpstream"]
 
 Incarnation = tuple[str, int]
 _Cost = Callable[[ListedUpstream, float], float]
@@ -71,6 +72,23 @@
     work: WorkByUpstream
 
 
+@dataclass(frozen=True)
+class Choice:
+    """Hold the upstream chosen, what it was chosen against, and from what.
+
+    The ages are those of the oldest report of a peer that counted and of the
+    chosen upstream's last sign of life; None where there was none.
+    """
+
+    upstream: ListedUpstream
+    cost_ms: float
+    n_compared: int
+    next_id: str
+    next_cost_ms: float | None
+    reports_age_ms: float | None
+    sign_age_ms: float | None
+
+
 @dataclass
 class Placement:
     """Weigh the usable upstreams by own load, zone and evidence."""
@@ -118,7 +136,7 @@
         now_ms: float,
         exclude: Collection[Incarnation] = (),
         prompt: Prompt | None = None,
-    ) -> ListedUpstream | None:
+    ) -> Choice | None:
         """Choose where a stream's prompt is read, or need not be."""
 
         def cost(upstream: ListedUpstream, now_ms: float) -> float:
@@ -143,7 +161,7 @@
 
     def for_call(
         self, service: str, now_ms: float, exclude: Collection[Incarnation] = ()
-    ) -> ListedUpstream | None:
+    ) -> Choice | None:
         """Choose where a short call runs."""
         return self._cheapest(service, now_ms, exclude, self._call_cost)
 
@@ -163,7 +181,8 @@
                 for item in others
                 if item.availability_zone != primary.availability_zone
             ]
-        return self._pick(others, lambda item: self._copy_cost(item, now_ms))
+        choice = self._pick(others, self._copy_cost, now_ms)
+        return None if choice is None else choice.upstream
 
     def is_keeping(self, keeper: ListedUpstream, now_ms: float) -> bool:
         """Say whether an upstream still lives that was given a copy."""
@@ -183,7 +202,7 @@
         now_ms: float,
         exclude: Collection[Incarnation],
         cost: _Cost,
-    ) -> ListedUpstream | None:
+    ) -> Choice | None:
         candidates = self._some(service, now_ms)
         usable = [item for item in candidates if item.incarnation not in exclude]
         sound = [
@@ -191,7 +210,7 @@
             for item in usable
             if not self.health.is_avoided(item.incarnation, now_ms)
         ]
-        return self._pick(sound or usable, lambda item: cost(item, now_ms))
+        return self._pick(sound or usable, cost, now_ms)
 
     def _some(self, service: str, now_ms: float) -> list[ListedUpstream]:
         """Look at a sample where there are many, half of it in the own zone.
@@ -214,18 +233,34 @@
         return chosen
 
     def _pick(
-        self, items: list[ListedUpstream], cost: Callable[[ListedUpstream], float]
-    ) -> ListedUpstream | None:
+        self, items: list[ListedUpstream], cost: _Cost, now_ms: float
+    ) -> Choice | None:
         if not items:
             return None
-        costs = [cost(item) for item in items]
+        costs = [cost(item, now_ms) for item in items]
         lowest = min(costs)
-        best = [
-            item
-            for item, its_cost in zip(items, costs, strict=True)
-            if its_cost <= lowest
-        ]
-        return self.random.choice(best)
+        best = [index for index, value in enumerate(costs) if value <= lowest]
+        chosen = self.random.choice(best)
+        others = [index for index in range(len(items)) if index != chosen]
+        following = min(others, key=costs.__getitem__, default=None)
+        return Choice(
+            upstream=items[chosen],
+            cost_ms=lowest,
+            n_compared=len(items),
+            next_id="" if following is None else items[following].upstream_id,
+            next_cost_ms=None if following is None else costs[following],
+            reports_age_ms=self._reports_age_ms(now_ms),
+            sign_age_ms=self._sign_age_ms(items[chosen], now_ms),
+        )
+
+    def _reports_age_ms(self, now_ms: float) -> float | None:
+        ages_ms = [now_ms - item.at_ms for item in self._peer_work.values()]
+        life_ms = self.options.peer_load_life_ms
+        return max((age_ms for age_ms in ages_ms if age_ms < life_ms), default=None)
+
+    def _sign_age_ms(self, upstream: ListedUpstream, now_ms: float) -> float | None:
+        sign_at_ms = self.health.last_answer_at_ms(upstream.incarnation)
+        return now_ms - sign_at_ms if math.isfinite(sign_at_ms) else None
 
     def _stream_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
         load = self._whole_load(upstream.upstream_id, now_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
@@ -40,7 +40,7 @@
     copy_retry_ms: float = 500.0
     # A request that came back has less time left than this share of its
     # route's time: callers begin with 0.85 of it or more.
-    returned_share: float = 0.8
+    returned_share: float = 0.75
     # Engines list what they keep within 30 ms; a dead one never does.
     list_wait_ms: float = 150.0
     # All upstreams turned the request away: they free slots within this.
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -22,7 +22,7 @@
     Probe,
     Send,
 )
-from bronzeline_kernel.forwarding.placement import Placement
+from bronzeline_kernel.forwarding.placement import Choice, Placement
 from bronzeline_kernel.forwarding.prompt_index import Prompt
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
@@ -316,7 +316,7 @@
         if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
         if self._may_try_again(attempt, fault):
-            return [self._send(attempt.upstream, now_ms, None)]
+            return [self._send(attempt.upstream, now_ms)]
         return self._send_prompt(now_ms)
 
     def _has_attempts_left(self) -> bool:
@@ -362,15 +362,15 @@
         request = self.request
         prompt = Prompt(request.own_part_id, request.n_prompt_tokens)
         place = self.placement.for_stream
-        upstream = place(self.service, now_ms, self._tried, prompt)
-        if upstream is None and self._tried:
+        choice = place(self.service, now_ms, self._tried, prompt)
+        if choice is None and self._tried:
             self._tried.clear()
-            upstream = place(self.service, now_ms, (), prompt)
-        if upstream is None:
+            choice = place(self.service, now_ms, (), prompt)
+        if choice is None:
             return self._fail_unserved("no upstream")
-        if not self.n_sent and self._is_hopeless(upstream, prompt, now_ms):
+        if not self.n_sent and self._is_hopeless(choice.upstream, prompt, now_ms):
             return self._fail_unserved("too little time for the prompt")
-        return [self._send(upstream, now_ms, None)]
+        return [self._send(choice.upstream, now_ms, choice=choice)]
 
     def _is_hopeless(
         self, upstream: ListedUpstream, prompt: Prompt, now_ms: float
@@ -383,7 +383,11 @@
         return now_ms + read_ms >= self.deadline_ms
 
     def _send(
-        self, upstream: ListedUpstream, now_ms: float, copy: CopySource | None
+        self,
+        upstream: ListedUpstream,
+        now_ms: float,
+        copy: CopySource | None = None,
+        choice: Choice | None = None,
     ) -> Send:
         copy_to = None
         if self.route.is_resumable:
@@ -398,7 +402,9 @@
         if copy_to is not None:
             self.placement.load(copy_to.upstream_id).n_copies += 1
         budget_ms = max(0.0, self.deadline_ms - now_ms)
-        return Send(self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to)
+        return Send(
+            self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to, choice
+        )
 
     def _copy_of(self, attempt: Attempt, now_ms: float) -> CopySource | None:
         """Return the copy to go on from; there is none before the first event."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/health_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/health_tests.py
@@ -55,6 +55,30 @@
         later = self.health.slowness(ENGINE, half_life_ms)
         self.assertAlmostEqual(later, expected / 2.0)
 
+    def test_changes_of_belief_are_told(self):
+        told = []
+        self.health.on_belief = told.append
+        self.health.failed(ENGINE, 0.0)
+        self.health.succeeded(ENGINE, 1.0)
+        self.health.succeeded(ENGINE, 2.0)
+        self.health.was_full(ENGINE, 3.0)
+        self.health.was_full(ENGINE, 4.0)
+        self.health.was_replaced(ENGINE, 5.0)
+        self.health.peer_lost_zone(ZONE, 6.0)
+        self.health.prompt_read(ENGINE, 3_000.0, 1_000.0, 7.0)
+        self.health.prompt_read(ENGINE, 3_000.0, 1_000.0, 8.0)
+        self.assertEqual(
+            [(item.belief.value, item.is_own) for item in told],
+            [
+                ("avoided", True),
+                ("back", True),
+                ("full", True),
+                ("replaced", True),
+                ("zone_suspect", False),
+                ("slow", True),
+            ],
+        )
+
     def test_a_peers_finding_of_a_new_process_is_not_passed_on(self):
         told = []
         self.health.on_replaced = told.append
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/killers_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/killers_tests.py
@@ -36,6 +36,14 @@
         has_wait = self.guard.retry_after_ms("killer", self.now_ms) > 0.0
         self.assertEqual(has_wait, expected)
 
+    def test_a_quarantine_is_told_with_its_grounds(self):
+        found = []
+        self.guard.on_quarantined = found.append
+        for number in range(3):
+            self.die(lost(f"e{number}", f"zone-{number}", "killer"))
+        self.assertEqual([item.request_hash for item in found], ["killer"])
+        self.assertEqual(sorted(found[0].upstream_ids), ["e0", "e1", "e2"])
+
     def test_peers_deaths_count_and_are_not_told_again(self):
         for number in range(3):
             self.die(lost(f"e{number}", f"z{number}", "killer"), is_own=False)
