--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from random import Random
 
 from bronzeline_daemon.logs import log_event
@@ -32,12 +33,24 @@
 IDLE_S = 0.1
 RETRY_MIN_MS = 150.0
 RETRY_MAX_MS = 450.0
+# While the store is away a call that it will never answer may not outlast its
+# return: every other one ends after this, ten times what a slow store takes.
+# The others have the store's own limit, lest one slower still stays away.
+SHORT_LIMIT_MS = 450.0
 
 OnConfig = Callable[[], None]
 # Takes what was asked for and how the call ended.
 OnCall = Callable[[str, str], None]
 
 
+@dataclass(frozen=True)
+class Followed:
+    """Hold how far the store was followed, and when to go on."""
+
+    revision: int
+    next_at_ms: float = 0.0
+
+
 class DirectoryWatch:
     """Keep a view up to date; a loop for each of the two kinds."""
 
@@ -60,6 +73,8 @@
         self._on_call = on_call
         self._is_wanted: dict[str, bool] = {}
         self._is_away: dict[str, bool] = {}
+        self._is_short: dict[str, bool] = {}
+        self._calls: dict[str, asyncio.Task[Followed]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -71,7 +86,7 @@
 
     def stop(self) -> None:
         """Stop watching."""
-        for task in self._tasks:
+        for task in (*self._tasks, *self._calls.values()):
             task.cancel()
 
     def read_config(self) -> None:
@@ -83,7 +98,7 @@
         self._is_wanted["upstreams"] = True
 
     async def _run(
-        self, what: str, follow: Callable[[int | None], Awaitable[int]]
+        self, what: str, follow: Callable[[int | None], Coroutine[None, None, Followed]]
     ) -> None:
         revision: int | None = None
         while True:
@@ -95,7 +110,7 @@
             if is_wanted:
                 revision = None
             try:
-                revision = await follow(revision)
+                followed = await self._call(what, follow(revision))
             except HistoryLostError:
                 self._on_call(what, "history_lost")
                 log_event("history_lost", what=what, revision=revision)
@@ -108,8 +123,30 @@
             else:
                 self._on_call(what, "answered")
                 self._note_back(what)
-
-    async def _follow_config(self, revision: int | None) -> int:
+                revision = followed.revision
+                await self._pause(what, followed.next_at_ms)
+
+    async def _call(self, what: str, work: Coroutine[None, None, Followed]) -> Followed:
+        """Make a call that ends early where the store is known to be away.
+
+        Raises `StoreUnavailableError` where it did.
+        """
+        is_away = any(self._is_away.values())
+        self._is_short[what] = is_away and not self._is_short.get(what, False)
+        limit_s = SHORT_LIMIT_MS / 1000.0 if self._is_short[what] else None
+        call = self._calls[what] = asyncio.create_task(work)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await call
+        except TimeoutError:
+            raise StoreUnavailableError("no answer while it is away") from None
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            raise StoreUnavailableError("left for a new call") from None
+
+    async def _follow_config(self, revision: int | None) -> Followed:
         sent_at_ms = self._clock.now_ms()
         if revision is None:
             reading = await self._store.read_config()
@@ -118,13 +155,10 @@
         self._take_config(reading)
         if self._view.table is not None:
             self._view.lease.prove(sent_at_ms)
-        wait_ms = sent_at_ms + CONFIG_POLL_MS - self._clock.now_ms()
-        await self._pause("config", wait_ms)
-        return reading.revision
+        return Followed(reading.revision, sent_at_ms + CONFIG_POLL_MS)
 
-    async def _pause(self, what: str, wait_ms: float) -> None:
+    async def _pause(self, what: str, until_ms: float) -> None:
         """Wait, unless a peer tells of something newer."""
-        until_ms = self._clock.now_ms() + wait_ms
         while self._clock.now_ms() < until_ms and not self._is_wanted.get(what):
             await asyncio.sleep(IDLE_S)
 
@@ -141,7 +175,7 @@
         if is_taken:
             self._on_config()
 
-    async def _follow_upstreams(self, revision: int | None) -> int:
+    async def _follow_upstreams(self, revision: int | None) -> Followed:
         if revision is None:
             listing = await self._store.list_upstreams()
             self._view.take_listing(listing, self._clock.now_ms())
@@ -150,14 +184,15 @@
                 n_upstreams=len(listing.upstreams),
                 revision=listing.revision,
             )
-            return listing.revision
+            return Followed(listing.revision)
         # A peer may have told of later changes meanwhile.
         known = max(revision, self._view.changes.revision)
-        changes = await self._store.watch_upstreams(known, UPSTREAM_WAIT_MS)
+        wait_ms = 0.0 if any(self._is_away.values()) else UPSTREAM_WAIT_MS
+        changes = await self._store.watch_upstreams(known, wait_ms)
         self.take_changes(changes.changes, changes.revision)
-        if changes.changes:
-            await asyncio.sleep(GROUPING_MS / 1000.0)
-        return changes.revision
+        is_grouped = bool(changes.changes)
+        next_at_ms = self._clock.now_ms() + GROUPING_MS if is_grouped else 0.0
+        return Followed(changes.revision, next_at_ms)
 
     def take_changes(self, changes: tuple[UpstreamChange, ...], revision: int) -> None:
         """Take changes of upstreams, from the store or from a peer."""
@@ -180,8 +215,15 @@
         if self._is_away.get(what):
             self._view.upstreams.store_was_away(self._clock.now_ms())
             log_event("store_regained", what=what)
+            self._leave_old_calls(what)
         self._is_away[what] = False
 
+    def _leave_old_calls(self, answered: str) -> None:
+        """End what was asked before the store went away, and waits for ever."""
+        for what, call in self._calls.items():
+            if what != answered and not self._is_away.get(what):
+                call.cancel()
+
 
 def _state(is_leaving: bool) -> str:
     return "leaving" if is_leaving else "ready"
