--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 
 from bronzeline_kernel.forwarding.health import UpstreamHealth
@@ -14,7 +15,8 @@
 __all__ = ["Choice", "Load", "Placement", "PlacementOptions", "WorkByUpstream"]
 
 Incarnation = tuple[str, int]
-_Cost = Callable[[ListedUpstream, float], float]
+# Costs an upstream, with the peers' work by upstream, at a time.
+_Cost = Callable[[ListedUpstream, Mapping[str, "Load"], float], float]
 
 
 @dataclass(frozen=True)
@@ -139,12 +141,14 @@
     ) -> Choice | None:
         """Choose where a stream's prompt is read, or need not be."""
 
-        def cost(upstream: ListedUpstream, now_ms: float) -> float:
+        def cost(
+            upstream: ListedUpstream, peers: Mapping[str, Load], now_ms: float
+        ) -> float:
             kept = 0.0
             if prompt is not None:
                 kept = self.prompts.kept_share(upstream.incarnation, prompt, now_ms)
             saved_ms = kept * self.options.prompt_ms
-            return self._stream_cost(upstream, now_ms) - saved_ms
+            return self._stream_cost(upstream, peers, now_ms) - saved_ms
 
         return self._cheapest(service, now_ms, exclude, cost)
 
@@ -237,7 +241,8 @@
     ) -> Choice | None:
         if not items:
             return None
-        costs = [cost(item, now_ms) for item in items]
+        peers = self._peer_loads(now_ms)
+        costs = [cost(item, peers, now_ms) for item in items]
         lowest = min(costs)
         best = [index for index, value in enumerate(costs) if value <= lowest]
         chosen = self.random.choice(best)
@@ -262,8 +267,10 @@
         sign_at_ms = self.health.last_answer_at_ms(upstream.incarnation)
         return now_ms - sign_at_ms if math.isfinite(sign_at_ms) else None
 
-    def _stream_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
-        load = self._whole_load(upstream.upstream_id, now_ms)
+    def _stream_cost(
+        self, upstream: ListedUpstream, peers: Mapping[str, Load], now_ms: float
+    ) -> float:
+        load = self._whole_load(upstream.upstream_id, peers)
         options = self.options
         slowness = self.health.slowness(upstream.incarnation, now_ms)
         return (
@@ -275,13 +282,17 @@
             + self._failures(upstream, now_ms)
         )
 
-    def _copy_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
-        load = self._whole_load(upstream.upstream_id, now_ms)
+    def _copy_cost(
+        self, upstream: ListedUpstream, peers: Mapping[str, Load], now_ms: float
+    ) -> float:
+        load = self._whole_load(upstream.upstream_id, peers)
         # Each takes about as much of the memory as any other.
         n_kept = load.n_prompts + load.n_streams + load.n_copies
         return n_kept * self.options.stream_ms + self._failures(upstream, now_ms)
 
-    def _call_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
+    def _call_cost(
+        self, upstream: ListedUpstream, peers: Mapping[str, Load], now_ms: float
+    ) -> float:
         load = self.load(upstream.upstream_id)
         return (
             load.n_calls * self.options.call_ms
@@ -289,16 +300,30 @@
             + self._failures(upstream, now_ms)
         )
 
-    def _whole_load(self, upstream_id: str, now_ms: float) -> Load:
-        """Add what peers said a short time ago to the own load."""
-        whole = replace(self.load(upstream_id))
+    def _peer_loads(self, now_ms: float) -> dict[str, Load]:
+        """Sum up by upstream what peers said a short time ago."""
+        loads: defaultdict[str, Load] = defaultdict(Load)
         for item in self._peer_work.values():
             if now_ms - item.at_ms >= self.options.peer_load_life_ms:
                 continue
-            whole.n_prompts += item.work.prompts.get(upstream_id, 0)
-            whole.n_streams += item.work.streams.get(upstream_id, 0)
-            whole.n_copies += item.work.copies.get(upstream_id, 0)
-        return whole
+            for upstream_id, number in item.work.prompts.items():
+                loads[upstream_id].n_prompts += number
+            for upstream_id, number in item.work.streams.items():
+                loads[upstream_id].n_streams += number
+            for upstream_id, number in item.work.copies.items():
+                loads[upstream_id].n_copies += number
+        return loads
+
+    def _whole_load(self, upstream_id: str, peers: Mapping[str, Load]) -> Load:
+        """Add the peers' work to the own."""
+        own, others = self.load(upstream_id), peers.get(upstream_id)
+        if others is None:
+            return own
+        return Load(
+            own.n_prompts + others.n_prompts,
+            own.n_streams + others.n_streams,
+            own.n_copies + others.n_copies,
+        )
 
     def _far(self, upstream: ListedUpstream, cost_ms: float) -> float:
         return 0.0 if upstream.availability_zone == self.own_zone else cost_ms
