Use engines that started anew while the store is away

Engines that crash while the store is down start again under new ids, which nobody can list; after a crash of a second zone one engine of nine was left that routers knew, and streams ended with "attempts used up" though all nine ran.

Change: where a process answers 421 at an engine's address and the last proof from the store is older than 2 s, the router asks it who it is (its health and its report) and uses it under its own id, with `X-Expect-Instance` as always; peers are told and do the same if they are without the store, too. Only engines of a configuration's one service with engines are taken, since an address may go to another service and only engines have a report; an entry that the store does not list within 2 s of its return is dropped, and is never told to peers as the store's.

Ruled out: sending without an expected id (an address may have gone to another service); asking at every 421 (the store tells within a heartbeat, and each question is billed).

--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/adoptions.py
@@ -0,0 +1,83 @@
+"""Ask engines that started anew who they are, while the store is away."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bronzeline_daemon.forwarding.peers import ForwardingPeers
+from bronzeline_daemon.logs import log_event
+from bronzeline_kernel.exceptions import UpstreamError
+from bronzeline_kernel.forwarding import (
+    AdoptionGuard,
+    EngineClient,
+    ForwardingView,
+    ListedUpstream,
+)
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["Adoptions"]
+
+
+class Adoptions:
+    """Use new engines before the store lists them, and tell peers of them."""
+
+    def __init__(
+        self,
+        view: ForwardingView,
+        engines: EngineClient,
+        peers: ForwardingPeers,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._engines = engines
+        self._peers = peers
+        self._clock = clock
+        self._guard = AdoptionGuard()
+        self._tasks: set[asyncio.Task[None]] = set()
+        peers.on_adopted = self._take
+
+    def consider(self, upstream_id: str) -> None:
+        """Take in that another process answers at an upstream's address."""
+        upstream = self._view.upstreams.get(upstream_id)
+        now_ms = self._clock.now_ms()
+        proof_age_ms = self._view.lease.age_ms(now_ms)
+        table = self._view.table
+        if upstream is None or table is None:
+            return
+        if not self._guard.should_ask(upstream, table, proof_age_ms, now_ms):
+            return
+        service = table.service(upstream.service)
+        assert service is not None
+        task = asyncio.create_task(self._ask(upstream, service.health_path))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, former: ListedUpstream, health_path: str) -> None:
+        try:
+            identity = await self._engines.identify(former, health_path)
+        except UpstreamError as error:
+            log_event(
+                "upstream_not_identified",
+                former_id=former.upstream_id,
+                error=str(error),
+            )
+            return
+        entry = self._guard.entry_of(former, identity)
+        if entry is not None:
+            self._peers.tell_adopted(entry)
+            self._adopt(entry, "own")
+
+    def _take(self, entry: ListedUpstream) -> None:
+        """Take a peer's finding, unless the store can tell by itself."""
+        proof_age_ms = self._view.lease.age_ms(self._clock.now_ms())
+        if self._guard.is_away(proof_age_ms):
+            self._adopt(entry, "peer")
+
+    def _adopt(self, entry: ListedUpstream, source: str) -> None:
+        if self._view.upstreams.adopt(entry):
+            log_event(
+                "upstream_adopted",
+                upstream_id=entry.upstream_id,
+                address=f"{entry.host}:{entry.port}",
+                source=source,
+            )
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -15,6 +15,7 @@
     EngineLost,
     ForwardingSettings,
     KillerGuard,
+    ListedUpstream,
     LoadReport,
     Placement,
     ProofAsk,
@@ -24,6 +25,7 @@
     RunDirectory,
     RunEnded,
     RunRecord,
+    UpstreamAdopted,
     UpstreamReplaced,
     WorkByUpstream,
     ZoneLost,
@@ -57,6 +59,7 @@
     ProofGiven,
     RunEnded,
     RunRecord,
+    UpstreamAdopted,
     UpstreamReplaced,
     ZoneLost,
 )
@@ -102,8 +105,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.on_proof_asked: Callable[[ProofAsked, RouterEntry], None] = _ignore_ask
         self.on_proof_given: Callable[[ProofGiven, RouterEntry], None] = _ignore_proof
+        self.on_adopted: Callable[[ListedUpstream], None] = _ignore_entry
         placement.health.on_zone_failed = self._tell_zone_lost
-        placement.health.on_replaced = self._tell_replaced
 
     async def start(self) -> None:
         """Listen for datagrams, and begin to find peers."""
@@ -130,6 +133,14 @@
         """Tell the peers that a run ended."""
         self._send(RunEnded(request_hash), self._in_zone())
 
+    def tell_replaced(self, upstream: tuple[str, int]) -> None:
+        """Tell that another process answers at an upstream's address."""
+        self._send(UpstreamReplaced(*upstream), self._peers)
+
+    def tell_adopted(self, entry: ListedUpstream) -> None:
+        """Tell of an engine that the store could not list."""
+        self._send(UpstreamAdopted(entry), self._peers)
+
     @property
     def n_routers(self) -> int:
         """Return how many routers are known, this one included."""
@@ -182,6 +193,8 @@
             case LoadReport(router_id, prompts, streams, copies):
                 work = WorkByUpstream(prompts, streams, copies)
                 self._placement.take_peer_work(router_id, work, now_ms)
+            case UpstreamAdopted(entry):
+                self.on_adopted(entry)
             case UpstreamReplaced(upstream_id, started_at_ms):
                 replaced = (upstream_id, started_at_ms)
                 self._placement.health.peer_saw_replaced(replaced, now_ms)
@@ -197,9 +210,6 @@
             self._zone_told_at_ms[zone] = now_ms
             self._send(ZoneLost(*zone), self._peers)
 
-    def _tell_replaced(self, upstream: tuple[str, int]) -> None:
-        self._send(UpstreamReplaced(*upstream), self._peers)
-
     def _peer(self, router_id: str) -> RouterEntry | None:
         return next((x for x in self._peers if x.router_id == router_id), None)
 
@@ -273,6 +283,10 @@
                 self._send(report, self._some(self._in_zone(is_own=False)))
 
 
+def _ignore_entry(entry: ListedUpstream) -> None:
+    """Take a new engine before anyone wants to know."""
+
+
 def _ignore_ask(asked: ProofAsked, peer: RouterEntry) -> None:
     """Take an ask before anyone answers them."""
 
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -5,6 +5,7 @@
 import math
 from random import Random
 
+from bronzeline_daemon.forwarding.adoptions import Adoptions
 from bronzeline_daemon.forwarding.call_relay import CallRelay
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
@@ -82,12 +83,14 @@
         self.peers = ForwardingPeers(
             settings, store, self.placement, self._runs, self._killers, clock, random
         )
+        self._adoptions = Adoptions(view, engines, self.peers, clock)
         self._budgets = BudgetShare(settings.retry_ratio, settings.n_retry_reserve)
         self.n_running = 0
         self.stop_plan: StopPlan | None = None
         self.metrics = ForwardingMetrics()
         self._logs = LogLimiter(clock, settings.router_id)
         self.placement.health.on_belief = self._note_belief
+        self.placement.health.on_replaced = self._note_replaced
         self._killers.on_quarantined = self._note_quarantined
         self._parts = RelayParts(
             clock,
@@ -142,6 +145,10 @@
             request_hash=name,
         )
 
+    def _note_replaced(self, upstream: tuple[str, int]) -> None:
+        self.peers.tell_replaced(upstream)
+        self._adoptions.consider(upstream[0])
+
     def _note_belief(self, change: BeliefChange) -> None:
         self._logs.event(
             "belief_changed",
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -6,6 +6,7 @@
     Refused,
     admit,
 )
+from bronzeline_kernel.forwarding.adoption import AdoptionGuard, UpstreamIdentity
 from bronzeline_kernel.forwarding.budget_share import BudgetShare
 from bronzeline_kernel.forwarding.call_run import CallOptions, CallRun
 from bronzeline_kernel.forwarding.change_log import ChangeLog, UpstreamChange
@@ -53,6 +54,7 @@
     ProofGiven,
     RouterEntry,
     RunEnded,
+    UpstreamAdopted,
     UpstreamReplaced,
     ZoneLost,
 )
@@ -95,6 +97,7 @@
     "Abandon",
     "Action",
     "Admitted",
+    "AdoptionGuard",
     "AnswerHead",
     "Belief",
     "BeliefChange",
@@ -155,9 +158,11 @@
     "StopPlan",
     "StreamOptions",
     "StreamRun",
+    "UpstreamAdopted",
     "UpstreamChange",
     "UpstreamChanges",
     "UpstreamHealth",
+    "UpstreamIdentity",
     "UpstreamListing",
     "UpstreamReplaced",
     "UpstreamSet",
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -6,6 +6,7 @@
 
 from bronzeline_kernel.forwarding.change_log import UpstreamChange
 from bronzeline_kernel.forwarding.run_directory import RunRecord
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
 __all__ = [
     "LoadReport",
@@ -14,6 +15,7 @@
     "RouterEntry",
     "RunEnded",
     "RunRecord",
+    "UpstreamAdopted",
     "UpstreamReplaced",
     "ZoneLost",
 ]
@@ -62,6 +64,13 @@
     started_at_ms: int
 
 
+@dataclass(frozen=True)
+class UpstreamAdopted:
+    """Tell of an engine that the store could not list."""
+
+    entry: ListedUpstream
+
+
 @dataclass(frozen=True)
 class ProofAsked:
     """Ask a peer how current it is, and for the changes that it has."""
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from bronzeline_kernel.forwarding.adoption import UpstreamIdentity
 from bronzeline_kernel.forwarding.change_log import UpstreamChange
 from bronzeline_kernel.forwarding.config import ForwardingConfig, WorkspaceKeys
 from bronzeline_kernel.forwarding.messages import CallerRequest, CopySource, Send
@@ -79,7 +80,7 @@
 
 
 class EngineClient(Protocol):
-    """Ask engines to copy their runs, and what they keep."""
+    """Ask engines to copy their runs, what they keep and who they are."""
 
     async def copy_run(
         self, request: CallerRequest, source: ListedUpstream, keeper: ListedUpstream
@@ -92,6 +93,11 @@
     async def list_prompts(self, upstream: ListedUpstream) -> Mapping[str, int]:
         """Return the tokens kept of each part; raises `UpstreamError`."""
 
+    async def identify(
+        self, upstream: ListedUpstream, health_path: str
+    ) -> UpstreamIdentity:
+        """Ask who answers at an upstream's address; raises `UpstreamError`."""
+
 
 @dataclass(frozen=True)
 class AnswerHead:
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -50,6 +50,8 @@
         self._by_zone: dict[str, dict[str, list[ListedUpstream]]] = {}
         self._is_derived = False
         self._removals_due_ms: dict[str, float] = {}
+        # Known from elsewhere, until the store lists them or is back for a while.
+        self._adopted: set[str] = set()
         self._hold_until_ms = 0.0
         self.is_loaded = False
 
@@ -59,7 +61,7 @@
     def store_was_away(self, back_at_ms: float) -> None:
         """Hold removals for a while after the store could not be reached."""
         self._hold_until_ms = max(self._hold_until_ms, back_at_ms + REMOVAL_HOLD_MS)
-        for upstream_id in self._removals_due_ms:
+        for upstream_id in (*self._removals_due_ms, *self._adopted):
             self._removals_due_ms[upstream_id] = self._hold_until_ms
 
     def away_until_ms_ago(self, now_ms: float) -> float | None:
@@ -82,6 +84,16 @@
         self._listed[entry.upstream_id] = entry
         self._is_derived = False
         self._removals_due_ms.pop(entry.upstream_id, None)
+        self._adopted.discard(entry.upstream_id)
+
+    def adopt(self, entry: ListedUpstream) -> bool:
+        """Take an upstream that the store can't list now; say if it is new."""
+        if entry.upstream_id in self._listed:
+            return False
+        self._listed[entry.upstream_id] = entry
+        self._is_derived = False
+        self._adopted.add(entry.upstream_id)
+        return True
 
     def remove(self, upstream_id: str, now_ms: float) -> None:
         """Take an upstream off the list, at once or when removals count again."""
@@ -91,6 +103,7 @@
             self._removals_due_ms.setdefault(upstream_id, self._hold_until_ms)
         else:
             del self._listed[upstream_id]
+            self._adopted.discard(upstream_id)
             self._is_derived = False
 
     def get(self, upstream_id: str) -> ListedUpstream | None:
@@ -103,6 +116,7 @@
             item
             for item in self._listed.values()
             if item.upstream_id not in self._removals_due_ms
+            and item.upstream_id not in self._adopted
         )
 
     def incarnations(self) -> set[tuple[str, int]]:
@@ -154,4 +168,5 @@
             if now_ms >= due_ms:
                 del self._removals_due_ms[upstream_id]
                 self._listed.pop(upstream_id, None)
+                self._adopted.discard(upstream_id)
                 self._is_derived = False
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/adoption_tests.py
@@ -0,0 +1,64 @@
+import unittest
+from dataclasses import replace
+
+from nose2.tools import params
+
+from bronzeline_kernel.forwarding import (
+    AdoptionGuard,
+    EngineInfo,
+    RouteTable,
+    ServiceInfo,
+    UpstreamIdentity,
+)
+from bronzeline_kernel.tests.forwarding.samples import ENGINES, config, upstream
+
+FORMER = upstream("old", started=5)
+
+
+def table(*with_engines):
+    services = [
+        ServiceInfo(name, "/health", 100, EngineInfo(8, 55_000, has_backups=True))
+        for name in with_engines
+    ]
+    services.append(ServiceInfo("orders", "/health", 100))
+    return RouteTable(replace(config(), services=tuple(services)))
+
+
+class AdoptionTests(unittest.TestCase):
+    def setUp(self):
+        self.guard = AdoptionGuard()
+
+    @params(
+        ((ENGINES,), 2_000.0, True),
+        ((ENGINES,), float("inf"), True),
+        ((ENGINES,), 1_900.0, False),
+        ((ENGINES, "others"), 2_000.0, False),
+        ((), 2_000.0, False),
+    )
+    def test_one_is_asked_only_without_the_store_and_in_one_service(
+        self, with_engines, proof_age_ms, expected
+    ):
+        known = table(*with_engines)
+        found = self.guard.should_ask(FORMER, known, proof_age_ms, 0.0)
+        self.assertEqual(found, expected)
+
+    @params((999.0, False), (1_000.0, True))
+    def test_an_address_is_asked_again_after_a_while(self, now_ms, expected):
+        known = table(ENGINES)
+        self.guard.should_ask(FORMER, known, 9_000.0, 0.0)
+        found = self.guard.should_ask(FORMER, known, 9_000.0, now_ms)
+        self.assertEqual(found, expected)
+
+    @params(
+        (UpstreamIdentity("new", is_engine=True), 6),
+        (UpstreamIdentity("new", is_engine=True, started_at_ms=9), 9),
+        (UpstreamIdentity("new", is_engine=False), None),
+        (UpstreamIdentity("old", is_engine=True), None),
+    )
+    def test_an_engine_takes_the_place_of_the_former(self, identity, started_at_ms):
+        entry = self.guard.entry_of(FORMER, identity)
+        if started_at_ms is None:
+            self.assertIsNone(entry)
+            return
+        self.assertEqual((entry.upstream_id, entry.address), ("new", FORMER.address))
+        self.assertEqual(entry.started_at_ms, started_at_ms)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_set_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_set_tests.py
@@ -41,6 +41,24 @@
         self.upstreams.put(upstream("e1"))
         self.assertEqual(names(self.upstreams, 9_000.0), ["e1", "e2"])
 
+    @params(
+        ("listed", 2_500.0, ["e1", "e2", "new"]),
+        ("listed", 9_000.0, ["e1", "e2", "new"]),
+        ("not listed", 2_500.0, ["e1", "e2", "new"]),
+        ("not listed", 9_000.0, ["e1", "e2"]),
+    )
+    def test_an_adopted_one_stays_only_if_the_store_lists_it(
+        self, what, now_ms, expected
+    ):
+        self.assertTrue(self.upstreams.adopt(upstream("new")))
+        self.assertFalse(self.upstreams.adopt(upstream("new")))
+        self.assertEqual(names(self.upstreams, 900.0), ["e1", "e2", "new"])
+        self.assertNotIn("new", [x.upstream_id for x in self.upstreams.listed()])
+        self.upstreams.store_was_away(1_000.0)
+        if what == "listed":
+            self.upstreams.put(upstream("new"))
+        self.assertEqual(names(self.upstreams, now_ms), expected)
+
     def test_leaving_counts_also_while_removals_are_held(self):
         self.upstreams.store_was_away(1_000.0)
         self.upstreams.put(upstream("e1", leaving=True))
