Keep cancels that meet a result in the other waits of the daemon

The fault of (`asyncio.wait_for` of Python 3.11 loses a cancel that arrives with the result) stood in three more places: connections to peers and their idle wait, the wait for a story's parts, and that for a slot to look an order up. They use `asyncio.timeout`, as `channels` does.

--- a/packages/daemon/bronzeline_daemon/order_service/look_up.py
+++ b/packages/daemon/bronzeline_daemon/order_service/look_up.py
@@ -68,7 +68,8 @@
         )
         self._dispatch.request(ticket, granted.set_result)
         try:
-            result = await asyncio.wait_for(granted, TIMEOUT_MS / 1000.0)
+            async with asyncio.timeout(TIMEOUT_MS / 1000.0):
+                result = await granted
         except TimeoutError:
             self._dispatch.withdraw(ticket.ticket_id)
             return None
--- a/packages/daemon/bronzeline_daemon/peers/network.py
+++ b/packages/daemon/bronzeline_daemon/peers/network.py
@@ -115,9 +115,8 @@
         router = self._members.find(router_id)
         if router is None:
             raise ConnectionError(f"router {router_id} is not known")
-        stream = await asyncio.wait_for(
-            TCPClient().connect(router.host, router.peer_port), CONNECT_TIMEOUT_S
-        )
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            stream = await TCPClient().connect(router.host, router.peer_port)
         hello = Hello(self.own_id, self.incarnation, make_nonce())
         await stream.write(
             msgpack.packb(msgspec.to_builtins(hello, builtin_types=(bytes,)))
@@ -212,7 +211,8 @@
                 self._network.n_bytes_sent += len(data)
                 await stream.write(data)
             self._wakeup.clear()
-            await asyncio.wait_for(self._wakeup.wait(), IDLE_TIMEOUT_S)
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                await self._wakeup.wait()
 
     def _drain(self) -> list[bytes]:
         payloads = list(self._queue)
--- a/packages/daemon/bronzeline_daemon/story_service.py
+++ b/packages/daemon/bronzeline_daemon/story_service.py
@@ -114,7 +114,8 @@
         if not query.missing_ids:
             return
         try:
-            await asyncio.wait_for(query.is_complete.wait(), ANSWER_TIMEOUT_S)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await query.is_complete.wait()
         except TimeoutError:
             return
 
