Let three routers of a zone hold a run's record, and ask them

Change: the record goes to three peers, chosen by the request's hash so that all routers choose nearly the same; a router to which a caller comes back without a record asks them, 60 ms at most, beside the engines' lists of prompts (one action of the stream's machine, `FindEarlierRun`, for both). In a zone of four routers or fewer all hold all records, as before.

--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/earlier_runs.py
@@ -0,0 +1,47 @@
+"""Find what is left of the earlier run of a request that came back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from bronzeline_daemon.forwarding.peers import ForwardingPeers
+from bronzeline_daemon.forwarding.prompt_lists import PromptLists
+from bronzeline_kernel.forwarding import ListedUpstream
+
+__all__ = ["EarlierRuns"]
+
+
+class EarlierRuns:
+    """Ask peers for a run's copy and engines for its prompt, side by side."""
+
+    def __init__(self, peers: ForwardingPeers, prompts: PromptLists) -> None:
+        self._peers = peers
+        self._prompts = prompts
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def find(
+        self,
+        request_id: str,
+        request_hash: str,
+        upstreams: Sequence[ListedUpstream],
+        on_sought: Callable[[], None],
+    ) -> None:
+        """Ask all, and call back when all that answer have done so."""
+        work = self._find(request_id, request_hash, upstreams, on_sought)
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _find(
+        self,
+        request_id: str,
+        request_hash: str,
+        upstreams: Sequence[ListedUpstream],
+        on_sought: Callable[[], None],
+    ) -> None:
+        await asyncio.gather(
+            self._peers.find_run(request_hash),
+            self._prompts.ask(request_id, upstreams),
+        )
+        on_sought()
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any, cast
+from zlib import crc32
 
 from bronzeline_daemon.logs import log_event
 from bronzeline_daemon.message_codec import MessageCodec, PeerMessageError
@@ -22,9 +25,11 @@
     ProofAsked,
     ProofGiven,
     RouterEntry,
+    RunAsked,
     RunDirectory,
     RunEnded,
     RunRecord,
+    RunUnknown,
     UpstreamAdopted,
     UpstreamReplaced,
     WorkByUpstream,
@@ -48,6 +53,11 @@
 # Ten reports a second to as many peers reach 93 routers of a zone, the most
 # of the design size, nearly twice within the life of a report.
 MAX_TOLD_PEERS = 16
+# So many routers of a zone hold the record of a run, chosen by its hash: one
+# of them may be lost with the run's own.
+N_RUN_HOLDERS = 3
+# They answer within 30 ms, or are gone.
+FIND_RUN_S = 0.06
 # A zone is reported lost to other zones, where bytes are billed, this often
 # at most.
 ZONE_LOST_EVERY_MS = 400.0
@@ -57,8 +67,10 @@
     LoadReport,
     ProofAsked,
     ProofGiven,
+    RunAsked,
     RunEnded,
     RunRecord,
+    RunUnknown,
     UpstreamAdopted,
     UpstreamReplaced,
     ZoneLost,
@@ -67,6 +79,14 @@
 Zone = tuple[str, str]
 
 
+@dataclass
+class SoughtRun:
+    """Hold how many peers have yet to say whether they hold a record."""
+
+    n_open: int
+    is_settled: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 class ForwardingPeers(asyncio.DatagramProtocol):
     """Send what peers can use and take in what they send.
 
@@ -103,6 +123,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._zone_told_at_ms: dict[Zone, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._sought: dict[str, SoughtRun] = {}
         self.on_proof_asked: Callable[[ProofAsked, RouterEntry], None] = _ignore_ask
         self.on_proof_given: Callable[[ProofGiven, RouterEntry], None] = _ignore_proof
         self.on_adopted: Callable[[ListedUpstream], None] = _ignore_entry
@@ -126,12 +147,28 @@
             self._transport.close()
 
     def share_run(self, record: RunRecord) -> None:
-        """Tell the peers to which a caller may come back of a run's copy."""
-        self._send(record, self._in_zone())
+        """Tell the peers that hold records of a run's copy."""
+        self._send(record, self._run_holders(record.request_hash))
 
     def end_run(self, request_hash: str) -> None:
-        """Tell the peers that a run ended."""
-        self._send(RunEnded(request_hash), self._in_zone())
+        """Tell the peers that hold its record that a run ended."""
+        self._send(RunEnded(request_hash), self._run_holders(request_hash))
+
+    async def find_run(self, request_hash: str) -> None:
+        """Ask who holds a run's record, and wait until it is here or nowhere."""
+        holders = self._run_holders(request_hash)
+        is_told_all = len(self._in_zone()) <= N_RUN_HOLDERS
+        if is_told_all or request_hash in self._sought:
+            return
+        sought = self._sought[request_hash] = SoughtRun(len(holders))
+        self._send(RunAsked(request_hash, self._own.router_id), holders)
+        try:
+            async with asyncio.timeout(FIND_RUN_S):
+                await sought.is_settled.wait()
+        except TimeoutError:
+            log_event("run_holders_silent", n_asked=len(holders))
+        finally:
+            del self._sought[request_hash]
 
     def tell_replaced(self, upstream: tuple[str, int]) -> None:
         """Tell that another process answers at an upstream's address."""
@@ -174,8 +211,16 @@
             log_event("peer_message_unreadable", peer=str(addr), error=str(error))
             return
         match message:
-            case RunRecord():
+            case RunRecord(request_hash):
                 self._runs.put(message, now_ms)
+                self._settle(request_hash, is_found=True)
+            case RunUnknown(request_hash):
+                self._settle(request_hash, is_found=False)
+            case RunAsked(request_hash, router_id):
+                peer = self._peer(router_id)
+                record = self._runs.hand_over(request_hash, now_ms)
+                if peer is not None:
+                    self.send_to(record or RunUnknown(request_hash), peer)
             case RunEnded(request_hash):
                 self._runs.remove(request_hash)
             case ZoneLost(service, zone):
@@ -210,6 +255,22 @@
             self._zone_told_at_ms[zone] = now_ms
             self._send(ZoneLost(*zone), self._peers)
 
+    def _run_holders(self, request_hash: str) -> list[RouterEntry]:
+        """Choose peers of the zone so that all routers choose nearly the same."""
+        return heapq.nlargest(
+            N_RUN_HOLDERS,
+            self._in_zone(),
+            key=lambda item: crc32(f"{request_hash}/{item.router_id}".encode()),
+        )
+
+    def _settle(self, request_hash: str, *, is_found: bool) -> None:
+        sought = self._sought.get(request_hash)
+        if sought is None:
+            return
+        sought.n_open -= 1
+        if is_found or not sought.n_open:
+            sought.is_settled.set()
+
     def _peer(self, router_id: str) -> RouterEntry | None:
         return next((x for x in self._peers if x.router_id == router_id), None)
 
--- a/packages/daemon/bronzeline_daemon/forwarding/prompt_lists.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/prompt_lists.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.exceptions import UpstreamError
@@ -23,25 +23,11 @@
         self._index = index
         self._clock = clock
         self._calls: dict[Incarnation, asyncio.Task[str]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
 
-    def ask(
-        self,
-        request_id: str,
-        upstreams: Sequence[ListedUpstream],
-        on_listed: Callable[[], None],
-    ) -> None:
-        """Ask each upstream at most once at a time; call back after the last."""
-        task = asyncio.create_task(self._ask(request_id, upstreams, on_listed))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _ask(
-        self,
-        request_id: str,
-        upstreams: Sequence[ListedUpstream],
-        on_listed: Callable[[], None],
-    ) -> None:
+    async def ask(self, request_id: str, upstreams: Sequence[ListedUpstream]) -> None:
+        """Ask each upstream, at most once at a time, and wait for the last."""
+        if not upstreams:
+            return
         started_at_ms = self._clock.now_ms()
         errors = await asyncio.gather(*(self._call(item) for item in upstreams))
         failed = [error for error in errors if error]
@@ -53,7 +39,6 @@
             error=failed[0] if failed else "",
             took_ms=round(self._clock.now_ms() - started_at_ms),
         )
-        on_listed()
 
     def _call(self, upstream: ListedUpstream) -> asyncio.Task[str]:
         """Return the call to an upstream that runs, or a new one."""
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -27,9 +27,9 @@
     Fail,
     Failure,
     Fault,
+    FindEarlierRun,
     Finish,
     ListedUpstream,
-    ListPrompts,
     Probe,
     Send,
     WorkspaceKeys,
@@ -113,9 +113,12 @@
                     self.parts.copies.make(self.request, action, self.take_copy)
                 case DropCopy(copy):
                     self.parts.copies.drop(copy)
-                case ListPrompts(upstreams):
-                    self.parts.prompts.ask(
-                        self.request.request_id, upstreams, self.take_lists
+                case FindEarlierRun(upstreams):
+                    self.parts.earlier_runs.find(
+                        self.request.request_id,
+                        self._hash,
+                        upstreams,
+                        self.take_earlier_run,
                     )
                 case Finish(number):
                     self.finish(number)
@@ -142,8 +145,8 @@
     def take_copy(self, number: int, copy: CopySource | None) -> None:
         """Take in that a copy of a run was made, or that it could not be."""
 
-    def take_lists(self) -> None:
-        """Take in that upstreams listed the prompts that they keep."""
+    def take_earlier_run(self) -> None:
+        """Take in that what is left of an earlier run is known."""
 
     def finish(self, number: int) -> None:
         """End the caller's answer with what an attempt brought."""
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_parts.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_parts.py
@@ -7,10 +7,10 @@
 
 from bronzeline_daemon.forwarding.channels import Channels
 from bronzeline_daemon.forwarding.copies import Copies
+from bronzeline_daemon.forwarding.earlier_runs import EarlierRuns
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
-from bronzeline_daemon.forwarding.prompt_lists import PromptLists
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.admission import RetryBudget
 from bronzeline_kernel.forwarding import Action, Fault, KillerGuard, WireFormat
@@ -61,7 +61,7 @@
     wire: WireFormat
     prober: Prober
     copies: Copies
-    prompts: PromptLists
+    earlier_runs: EarlierRuns
     peers: ForwardingPeers
     killers: KillerGuard
     logs: LogLimiter
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -10,6 +10,7 @@
 from bronzeline_daemon.forwarding.caller_answer import CallerAnswer
 from bronzeline_daemon.forwarding.channels import Channels
 from bronzeline_daemon.forwarding.copies import Copies
+from bronzeline_daemon.forwarding.earlier_runs import EarlierRuns
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
@@ -98,7 +99,9 @@
             wire,
             Prober(),
             Copies(engines),
-            PromptLists(engines, self.placement.prompts, clock),
+            EarlierRuns(
+                self.peers, PromptLists(engines, self.placement.prompts, clock)
+            ),
             self.peers,
             self._killers,
             self._logs,
@@ -194,7 +197,7 @@
                 self.placement,
                 budget,
                 deadline_ms,
-                inherited=self._runs.take(name, now_ms),
+                find_copy=lambda at_ms: self._runs.take(name, at_ms),
                 is_blocked=lambda: self._is_blocked(name),
             )
             relay: Relay = StreamRelay(
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -83,9 +83,9 @@
         """Take in that a copy of a run was made, or that it could not be."""
         self.perform(self._run.copied(number, copy, self.now_ms()))
 
-    def take_lists(self) -> None:
-        """Take in that upstreams listed the prompts that they keep."""
-        self.perform(self._run.prompts_listed(self.now_ms()))
+    def take_earlier_run(self) -> None:
+        """Take in that what is left of an earlier run is known."""
+        self.perform(self._run.earlier_run_sought(self.now_ms()))
 
     def finish(self, number: int) -> None:
         """End the caller's answer."""
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -18,8 +18,8 @@
     "Fail",
     "Failure",
     "Fault",
+    "FindEarlierRun",
     "Finish",
-    "ListPrompts",
     "Probe",
     "Send",
 ]
@@ -134,8 +134,8 @@
 
 
 @dataclass(frozen=True)
-class ListPrompts:
-    """Ask upstreams which prompts they keep."""
+class FindEarlierRun:
+    """Ask peers for the run's copy, and upstreams which prompts they keep."""
 
     upstreams: tuple[ListedUpstream, ...]
 
@@ -156,4 +156,4 @@
     retry_after_ms: float = 0.0
 
 
-Action = Send | Abandon | Probe | CopyRun | DropCopy | ListPrompts | Finish | Fail
+Action = Send | Abandon | Probe | CopyRun | DropCopy | FindEarlierRun | Finish | Fail
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -13,8 +13,10 @@
     "ProofAsked",
     "ProofGiven",
     "RouterEntry",
+    "RunAsked",
     "RunEnded",
     "RunRecord",
+    "RunUnknown",
     "UpstreamAdopted",
     "UpstreamReplaced",
     "ZoneLost",
@@ -38,6 +40,21 @@
     request_hash: str
 
 
+@dataclass(frozen=True)
+class RunAsked:
+    """Ask a peer for the record of a run whose caller came back."""
+
+    request_hash: str
+    router_id: str
+
+
+@dataclass(frozen=True)
+class RunUnknown:
+    """Say that no record of a run is held."""
+
+    request_hash: str
+
+
 @dataclass(frozen=True)
 class LoadReport:
     """Tell a router's prompts, streams and copies on each upstream."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
@@ -41,8 +41,9 @@
     # A request that came back has less time left than this share of its
     # route's time: callers begin with 0.85 of it or more.
     returned_share: float = 0.75
-    # Engines list what they keep within 30 ms; a dead one never does.
-    list_wait_ms: float = 150.0
+    # Peers answer within 30 ms, engines list what they keep within 90; a dead
+    # one never does.
+    find_wait_ms: float = 150.0
     # All upstreams turned the request away: they free slots within this.
     retry_after_ms: float = 500.0
     # After three upstreams died under a stream in a row it is a killer or out
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -17,8 +17,8 @@
     Fail,
     Failure,
     Fault,
+    FindEarlierRun,
     Finish,
-    ListPrompts,
     Probe,
     Send,
 )
@@ -59,7 +59,7 @@
     budget: RetryBudget
     deadline_ms: float
     options: StreamOptions = field(default_factory=StreamOptions)
-    inherited: CopySource | None = None
+    find_copy: Callable[[float], CopySource | None] = lambda now_ms: None
     is_blocked: Callable[[], bool] = lambda: False
     last_event: int = 0
     attempt: Attempt | None = None
@@ -69,7 +69,7 @@
     n_unreachable: int = 0
     n_lost: int = 0
     n_deaths: int = 0
-    _lists_due_ms: float | None = None
+    _found_due_ms: float | None = None
     _tried: set[Incarnation] = field(default_factory=set)
     _tried_again: set[Incarnation] = field(default_factory=set)
 
@@ -84,20 +84,22 @@
     def start(self, now_ms: float) -> list[Action]:
         """Go on from the copy of an earlier run, or send the prompt."""
         self.budget.earn()
-        copy = self.inherited
-        if copy is not None and self._is_kept(copy.keeper, now_ms):
+        copy = self._earlier_copy(now_ms)
+        if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
-        asked = self._who_may_keep_prompt(now_ms)
-        if asked:
-            self._lists_due_ms = now_ms + self.options.list_wait_ms
-            return [ListPrompts(asked)]
-        return self._send_prompt(now_ms)
-
-    def prompts_listed(self, now_ms: float) -> list[Action]:
-        """Take in that the upstreams listed the prompts that they keep."""
-        if self.is_over or self._lists_due_ms is None:
+        if not self._came_back(now_ms):
+            return self._send_prompt(now_ms)
+        self._found_due_ms = now_ms + self.options.find_wait_ms
+        return [FindEarlierRun(self._who_may_keep_prompt(now_ms))]
+
+    def earlier_run_sought(self, now_ms: float) -> list[Action]:
+        """Take in that peers and upstreams said what they know of the run."""
+        if self.is_over or self._found_due_ms is None:
             return []
-        self._lists_due_ms = None
+        self._found_due_ms = None
+        copy = self._earlier_copy(now_ms)
+        if copy is not None:
+            return [self._send(copy.keeper, now_ms, copy)]
         return self._send_prompt(now_ms)
 
     def copy(self, now_ms: float) -> CopySource | None:
@@ -174,8 +176,8 @@
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
         if attempt is None:
-            is_due = self._lists_due_ms is not None and now_ms >= self._lists_due_ms
-            return self.prompts_listed(now_ms) if is_due else []
+            is_due = self._found_due_ms is not None and now_ms >= self._found_due_ms
+            return self.earlier_run_sought(now_ms) if is_due else []
         if not self.route.is_resumable:
             # It can go on nowhere else, and may yet be answered here.
             return []
@@ -343,18 +345,26 @@
             return self._fail_unserved("retry budget spent")
         return self._send_prompt(now_ms)
 
-    def _who_may_keep_prompt(self, now_ms: float) -> tuple[ListedUpstream, ...]:
-        """Return who to ask for the prompt of a request that came back.
+    def _earlier_copy(self, now_ms: float) -> CopySource | None:
+        copy = self.find_copy(now_ms)
+        if copy is None or not self._is_kept(copy.keeper, now_ms):
+            return None
+        return copy
+
+    def _came_back(self, now_ms: float) -> bool:
+        """Say whether the request ran before, at a router that is not known.
 
-        Its prompt was read a short time ago, by an upstream that this router
-        doesn't know; reading it again may take the time that is left.
+        Its prompt was read a short time ago; reading it again may take the
+        time that is left.
         """
-        request = self.request
-        if not self.route.is_resumable or not request.own_part_id:
-            return ()
+        if not self.route.is_resumable:
+            return False
         left_ms = self.deadline_ms - now_ms
         is_late = left_ms < self.options.returned_share * self.route.timeout_ms
-        if not request.after_event and not is_late:
+        return self.request.after_event > 0 or is_late
+
+    def _who_may_keep_prompt(self, now_ms: float) -> tuple[ListedUpstream, ...]:
+        if not self.request.own_part_id:
             return ()
         return self.placement.to_ask_for_prompts(self.service, now_ms)
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/run_directory_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/run_directory_tests.py
@@ -26,6 +26,13 @@
         )
         self.assertIsNone(self.runs.take("h", 1.0))
 
+    @params((1.0, True), (5_001.0, False))
+    def test_a_record_is_handed_over_once(self, now_ms, is_known):
+        record = self.runs.hand_over("h", now_ms)
+        self.assertEqual(record is not None, is_known)
+        self.assertIsNone(self.runs.hand_over("h", now_ms))
+        self.assertIsNone(self.runs.take("h", now_ms))
+
     def test_a_newer_record_takes_the_place_of_the_old(self):
         self.runs.put(RunRecord("h", "s", "s", "copy-2"), 1.0)
         self.assertEqual(self.runs.take("h", 2.0).copy_id, "copy-2")
