--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -128,6 +128,8 @@
                 revision = None
             try:
                 followed = await self._call(what, follow(revision))
+                if followed is None:
+                    continue
             except HistoryLostError:
                 self._on_call(what, "history_lost")
                 log_event("history_lost", what=what, revision=revision)
@@ -170,10 +172,13 @@
         is_taken = self._view.take_peer_listing(found, self._clock.now_ms())
         self._log_listing(found, peer, is_taken)
 
-    async def _call(self, what: str, work: Coroutine[None, None, Followed]) -> Followed:
+    async def _call(
+        self, what: str, work: Coroutine[None, None, Followed]
+    ) -> Followed | None:
         """Make a call that ends early where the store is known to be away.
 
-        Raises `StoreUnavailableError` where it did.
+        Raises `StoreUnavailableError` where it did; None says that the call
+        was left for a new one, since the store is back.
         """
         is_away = any(self._is_away.values())
         self._is_short[what] = is_away and not self._is_short.get(what, False)
@@ -188,7 +193,8 @@
             task = asyncio.current_task()
             if task is not None and task.cancelling():
                 raise
-            raise StoreUnavailableError("left for a new call") from None
+            log_event("call_left", what=what)
+            return None
 
     async def _follow_config(self, revision: int | None) -> Followed:
         sent_at_ms = self._clock.now_ms()
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -211,7 +211,7 @@
     def tidy(self) -> None:
         """Say which log lines were dropped, and forget what is gone."""
         self._logs.report_dropped()
-        self.placement.forget_gone()
+        self.placement.forget_gone(self._clock.now_ms())
 
     def _is_blocked(self, name: str) -> bool:
         return self._killers.is_blocked(name, self._clock.now_ms())
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -123,8 +123,14 @@
             {key: item.n_copies for key, item in loads if item.n_copies},
         )
 
-    def forget_gone(self) -> None:
-        """Forget what is known of upstreams that are listed no more."""
+    def forget_gone(self, now_ms: float) -> None:
+        """Forget upstreams that are listed no more, and old reports of peers."""
+        life_ms = self.options.peer_load_life_ms
+        self._peer_work = {
+            key: item
+            for key, item in self._peer_work.items()
+            if now_ms - item.at_ms < life_ms
+        }
         self.health.keep_only(self.upstreams.incarnations())
         self._loads = {
             key: item
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
@@ -137,8 +137,12 @@
             self.placement.upstreams.remove(item.upstream_id, 0.0)
         self.placement.load("zone-a-0")
         self.placement.load("zone-a-1").n_streams = 1
-        self.placement.forget_gone()
+        for router_id, at_ms in (("left", 0.0), ("here", 2_000.0)):
+            work = WorkByUpstream({"zone-b-0": 1})
+            self.placement.take_peer_work(router_id, work, at_ms)
+        self.placement.forget_gone(3_000.0)
         self.assertEqual(set(self.placement._loads), {"zone-a-1"})
+        self.assertEqual(set(self.placement._peer_work), {"here"})
         score = self.placement.health.failure_score(gone[0].incarnation, 0.0)
         self.assertEqual(score, 0.0)
 
