--- a/packages/daemon/bronzeline_daemon/forwarding/earlier_runs.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/earlier_runs.py
@@ -28,20 +28,14 @@
         on_sought: Callable[[], None],
     ) -> None:
         """Ask all, and call back when all that answer have done so."""
-        work = self._find(request_id, request_hash, upstreams, on_sought)
-        task = asyncio.create_task(work)
+
+        async def find() -> None:
+            await asyncio.gather(
+                self._peers.find_run(request_hash),
+                self._prompts.ask(request_id, upstreams),
+            )
+            on_sought()
+
+        task = asyncio.create_task(find())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-    async def _find(
-        self,
-        request_id: str,
-        request_hash: str,
-        upstreams: Sequence[ListedUpstream],
-        on_sought: Callable[[], None],
-    ) -> None:
-        await asyncio.gather(
-            self._peers.find_run(request_hash),
-            self._prompts.ask(request_id, upstreams),
-        )
-        on_sought()
