Keep a silent stream where nothing else may be tried

A stream whose engine is silent was given up first, and only then found that the budget, the attempts or a quarantine left it nowhere to go; a silent engine is not a dead one, and silence is no reason to end an answer.

What breaks off ends as before.

--- a/packages/kernel/bronzeline_kernel/admission/budget.py
+++ b/packages/kernel/bronzeline_kernel/admission/budget.py
@@ -18,6 +18,11 @@
         """Return how many repeats may start now."""
         return self._n_left
 
+    @property
+    def has_any(self) -> bool:
+        """Say whether a repeat may start now."""
+        return self._n_left >= 1.0
+
     def resize(self, n_reserve: float) -> None:
         """Take another reserve; what is left beyond it is lost."""
         self._n_reserve = n_reserve
@@ -29,7 +34,7 @@
 
     def spend(self) -> bool:
         """Take one repeat out of the budget, if there is one."""
-        if self._n_left < 1.0:
+        if not self.has_any:
             return False
         self._n_left -= 1.0
         return True
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -282,6 +282,12 @@
         return [DropCopy(attempt.copy)]
 
     def _leave(self, attempt: Attempt, now_ms: float) -> list[Action]:
+        """Give up a silent upstream, unless nothing else may be tried.
+
+        It may yet answer; a connection that is dead says so by itself.
+        """
+        if self._obstacle():
+            return []
         self._release()
         self._note(attempt, Fault.SILENT, now_ms)
         self.n_lost += 1
@@ -306,14 +312,10 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstream lost")
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
-        if not self._has_attempts_left():
-            return self._fail(Failure.UNKNOWN_OUTCOME, "attempts used up")
-        if self.n_deaths >= self.options.max_deaths:
-            return self._fail(Failure.UNKNOWN_OUTCOME, "upstreams died in a row")
-        if self.is_blocked():
-            return self._fail(Failure.UNKNOWN_OUTCOME, "quarantined")
-        if not self.budget.spend():
-            return self._fail(Failure.UNKNOWN_OUTCOME, "retry budget spent")
+        obstacle = self._obstacle()
+        if obstacle:
+            return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
+        self.budget.spend()
         copy = self._copy_of(attempt, now_ms)
         if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
@@ -321,6 +323,16 @@
             return [self._send(attempt.upstream, now_ms)]
         return self._send_prompt(now_ms)
 
+    def _obstacle(self) -> str:
+        """Return what keeps a stream that was lost from going on, if anything."""
+        if not self._has_attempts_left():
+            return "attempts used up"
+        if self.n_deaths >= self.options.max_deaths:
+            return "upstreams died in a row"
+        if self.is_blocked():
+            return "quarantined"
+        return "" if self.budget.has_any else "retry budget spent"
+
     def _has_attempts_left(self) -> bool:
         """Count the upstreams that were reached, less those that were lost."""
         n_counted = self.n_sent - self.n_unreachable - self.n_lost
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -463,3 +463,41 @@
             driver.placement.prompts.put(item.incarnation, {"own": n_kept}, 0.0)
         action = driver.take(driver.run.earlier_run_sought(0.0))[0]
         self.assertEqual(getattr(action, "failure", None), failure)
+
+
+class LastAttemptTests(unittest.TestCase):
+    """Where nothing else may be tried, silence is no reason to end a stream."""
+
+    @params("budget", "attempts", "blocked")
+    def test_a_silent_upstream_is_kept(self, obstacle):
+        fields = {"budget": 0.0} if obstacle == "budget" else {}
+        if obstacle == "attempts":
+            fields["route"] = route(max_attempts=0)
+        driver = Driver(is_blocked=lambda: obstacle == "blocked", **fields)
+        upstream_ = driver.start().upstream
+        driver.events(1, 3)
+        actions = [action for _, action in driver.wait(5_000.0)]
+        self.assertFalse([x for x in actions if isinstance(x, Abandon | Fail)])
+        dead = driver.run.probed(upstream_.incarnation, False, driver.now_ms)
+        self.assertEqual(dead, [])
+        self.assertTrue(driver.event(1, 4))
+        self.assertEqual(driver.run.ended(1), [Finish(1)])
+
+    def test_it_is_left_once_another_may_be_tried(self):
+        driver = Driver(budget=0.0)
+        driver.start()
+        driver.events(1, 3)
+        driver.wait(2_000.0)
+        driver.run.budget.resize(5.0)
+        for _ in range(4):
+            driver.run.budget.earn()
+        found = [type(action) for _, action in driver.wait(1_000.0)]
+        self.assertEqual(found[:2], [Abandon, Send])
+
+    def test_it_fails_when_the_upstream_breaks_off(self):
+        driver = Driver(budget=0.0)
+        driver.start()
+        driver.events(1, 3)
+        failed = driver.lose(1)[-1]
+        self.assertEqual(failed.reason, "retry budget spent")
+        self.assertEqual(failed.failure, Failure.UNKNOWN_OUTCOME)
