Write each decision's log line when it is taken

Cause: RequestLog held a request's info lines until its end, so that lines came seconds after their time stamp, and a killed router left none for the streams that it was running. Change: lines are written at once. Lines beyond the rate of info lines are kept, 16 a request at most, and written as warnings once the request meets trouble; dropped ones are counted as before. `explain failures` names a router that restarted or fell silent as the cause of a request that never ended. Ruled out: a timer that flushes every few milliseconds; the number of writes is the same as before, one for each line.

--- a/packages/daemon/bronzeline_daemon/log_limits.py
+++ b/packages/daemon/bronzeline_daemon/log_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -18,6 +18,8 @@
 INFO_LINES_PER_S = 100.0
 WARNING_LINES_PER_S = 400.0
 BURST_S = 4.0
+# Bounds what a long stream holds in memory; its latest lines explain its end.
+MAX_KEPT_LINES = 16
 
 
 @dataclass
@@ -30,6 +32,15 @@
     _buckets: dict[tuple[str, bool], TokenBucket] = field(default_factory=dict)
 
     def write(self, record: logging.LogRecord) -> None:
+        """Write a record; count it as dropped if its event exceeds its rate."""
+        if not self.try_write(record):
+            self.count_dropped(record)
+
+    def count_dropped(self, record: logging.LogRecord) -> None:
+        """Count a record that will not be written."""
+        self.dropped[record.getMessage()] += 1
+
+    def try_write(self, record: logging.LogRecord) -> bool:
         """Write a record unless its event and level exceed their rate."""
         event = record.getMessage()
         is_warning = record.levelno >= logging.WARNING
@@ -39,9 +50,9 @@
             bucket = TokenBucket(rate_per_s, rate_per_s * BURST_S)
             self._buckets[event, is_warning] = bucket
         if bucket.reserve(self.clock.now_ms(), 0.0) is None:
-            self.dropped[event] += 1
-        else:
-            write_record(record)
+            return False
+        write_record(record)
+        return True
 
     def info(self, event: str, **fields: object) -> None:
         """Write a line at level info."""
@@ -66,37 +77,46 @@
 
 
 class RequestLog:
-    """Buffer a request's lines until their level is known.
+    """Write a request's lines as they are made, also those that explain a warning.
 
-    All lines of a request with a warning are written as warnings, so that they
-    survive when the rate of info lines is exceeded.
+    Lines beyond the rate of info lines are kept back, the latest ones only. A
+    warning writes them as warnings, so that the lines that led to it are logged.
+    Lines after a warning are warnings too.
     """
 
     def __init__(self, limiter: LogLimiter, request_id: str) -> None:
         self._limiter = limiter
         self._request_id = request_id
-        self._records: list[logging.LogRecord] = []
+        self._kept: deque[logging.LogRecord] = deque()
         self._has_warning = False
 
     def info(self, event: str, **fields: object) -> None:
-        """Add a line; after a warning, write it at once and as a warning, too."""
+        """Write a line; keep it back if the rate of info lines is exceeded."""
         all_fields = {"request_id": self._request_id, **fields}
-        self._records.append(self._limiter.make(logging.INFO, event, all_fields))
+        level = logging.WARNING if self._has_warning else logging.INFO
+        record = self._limiter.make(level, event, all_fields)
         if self._has_warning:
-            self._flush(logging.WARNING)
+            self._limiter.write(record)
+        elif not self._limiter.try_write(record):
+            self._keep(record)
 
     def warn(self, event: str, **fields: object) -> None:
-        """Add a warning and write all buffered lines as warnings."""
+        """Write a warning after the lines that were kept back."""
         self._has_warning = True
+        for record in self._kept:
+            record.levelno = logging.WARNING
+            record.levelname = logging.getLevelName(logging.WARNING)
+            self._limiter.write(record)
+        self._kept.clear()
         self.info(event, **fields)
 
     def end(self) -> None:
-        """Write the buffered lines at level info."""
-        self._flush(logging.INFO)
-
-    def _flush(self, level: int) -> None:
-        for record in self._records:
-            record.levelno = level
-            record.levelname = logging.getLevelName(level)
-            self._limiter.write(record)
-        self._records.clear()
+        """Count the lines that were kept back as dropped."""
+        for record in self._kept:
+            self._limiter.count_dropped(record)
+        self._kept.clear()
+
+    def _keep(self, record: logging.LogRecord) -> None:
+        self._kept.append(record)
+        if len(self._kept) > MAX_KEPT_LINES:
+            self._limiter.count_dropped(self._kept.popleft())
--- a/packages/daemon/bronzeline_daemon/tests/log_limits_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/log_limits_tests.py
@@ -8,6 +8,7 @@
 from bronzeline_daemon.log_limits import (
     BURST_S,
     INFO_LINES_PER_S,
+    MAX_KEPT_LINES,
     WARNING_LINES_PER_S,
     LogLimiter,
     RequestLog,
@@ -74,3 +75,26 @@
             ["attempt_sent", "attempt_lost", "attempt_sent"],
         )
         self.assertEqual({item.levelno for item in bad_records}, {logging.WARNING})
+
+    def test_lines_of_a_running_request_are_written_at_once(self):
+        running = RequestLog(self.limiter, "running")
+        running.info("attempt_sent", number=1)
+        self.assertEqual(self.events(), ["attempt_sent"])
+        running.warn("attempt_lost")
+        running.end()
+        self.assertEqual(self.events(), ["attempt_sent", "attempt_lost"])
+
+    @params((3, 3), (MAX_KEPT_LINES + 5, MAX_KEPT_LINES))
+    def test_kept_lines_are_bounded_and_counted_when_dropped(self, n_lines, n_kept):
+        for _ in range(int(INFO_LINES_PER_S * BURST_S)):
+            self.limiter.info("attempt_sent")
+        self.written.clear()
+        good, bad = RequestLog(self.limiter, "good"), RequestLog(self.limiter, "bad")
+        for _ in range(n_lines):
+            good.info("attempt_sent")
+            bad.info("attempt_sent")
+        bad.warn("attempt_lost")
+        self.assertEqual(self.events(), ["attempt_sent"] * n_kept + ["attempt_lost"])
+        good.end()
+        n_dropped = n_lines + (n_lines - n_kept)
+        self.assertEqual(self.limiter.dropped["attempt_sent"], n_dropped)
--- a/packages/kernel/bronzeline_kernel/story/__init__.py
+++ b/packages/kernel/bronzeline_kernel/story/__init__.py
@@ -2,9 +2,9 @@
 
 from bronzeline_kernel.story.archive import StoryArchive
 from bronzeline_kernel.story.formatting import StoryLine, format_decisions
+from bronzeline_kernel.story.log_line import LogLine
 from bronzeline_kernel.story.log_reader import (
     FailedRequest,
-    LogLine,
     failed_requests,
     lines_of_request,
     read_lines,
--- a/packages/kernel/bronzeline_kernel/story/log_reader.py
+++ b/packages/kernel/bronzeline_kernel/story/log_reader.py
@@ -5,11 +5,13 @@
 import json
 import re
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+from bronzeline_kernel.story.log_line import LogLine
+from bronzeline_kernel.story.router_ends import RouterEnds
 
 __all__ = [
     "FailedRequest",
-    "LogLine",
     "failed_requests",
     "lines_of_request",
     "read_lines",
@@ -30,22 +32,6 @@
 )
 
 
-@dataclass(frozen=True)
-class LogLine:
-    """Represent one log line."""
-
-    time: str
-    router: str
-    event: str
-    fields: dict[str, str] = field(default_factory=dict)
-
-    def __str__(self) -> str:
-        shown = " ".join(f"{name}={value}" for name, value in self.fields.items())
-        return (
-            f"{self.time} {self.router or '-'}: {self.event.replace('_', ' ')} {shown}"
-        )
-
-
 @dataclass(frozen=True)
 class FailedRequest:
     """Represent a failed or late request and the log lines that explain it."""
@@ -87,19 +73,23 @@
 def failed_requests(lines: Iterable[LogLine]) -> list[FailedRequest]:
     """Return the requests that failed, were refused or late, or have not ended."""
     by_request: dict[str, list[LogLine]] = {}
-    for line in lines:
+    all_lines = list(lines)
+    router_ends = RouterEnds.from_lines(all_lines)
+    for line in all_lines:
         request_id = line.fields.get("request_id")
         if request_id is not None:
             by_request.setdefault(request_id, []).append(line)
     found = []
     for request_id, request_lines in by_request.items():
-        failed = _failure(request_id, request_lines)
+        failed = _failure(request_id, request_lines, router_ends)
         if failed is not None:
             found.append(failed)
     return found
 
 
-def _failure(request_id: str, request_lines: list[LogLine]) -> FailedRequest | None:
+def _failure(
+    request_id: str, request_lines: list[LogLine], router_ends: RouterEnds
+) -> FailedRequest | None:
     causes = tuple(line for line in request_lines if line.event in CAUSE_EVENTS)
     ends = [
         line
@@ -107,7 +97,9 @@
         if line.event in ("request_ended", "request_refused")
     ]
     if not ends:
-        return FailedRequest(request_id, "not ended", "", causes)
+        last_line = max(request_lines, key=lambda line: line.time)
+        reason = router_ends.reason_not_ended(last_line)
+        return FailedRequest(request_id, "not ended", reason, causes)
     fields = ends[-1].fields
     outcome = fields.get("outcome") or f"refused: {fields.get('refusal', '')}"
     if outcome == CALLER_LEFT or (outcome == SERVED and not _is_late(fields)):
--- a/packages/kernel/bronzeline_kernel/tests/story/log_reader_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/story/log_reader_tests.py
@@ -53,3 +53,23 @@
         self.assertEqual(sorted(found), ["a", "c", "d", "f", "g"])
         self.assertEqual(found[name].outcome, outcome)
         self.assertEqual(found[name].is_explained, explained)
+
+
+ENDED_ROUTERS_LOG = """
+time="2026-04-22 22:50:00,000" level=INFO event=started router=killed
+time="2026-04-22 22:50:00,000" level=INFO event=started router=lost
+time="2026-04-22 22:51:00,000" level=INFO event=attempt_sent router=killed request_id=a
+time="2026-04-22 22:51:00,500" level=INFO event=attempt_sent router=lost request_id=b
+time="2026-04-22 22:51:02,000" level=INFO event=started router=killed
+time="2026-04-22 22:51:08,000" level=INFO event=attempt_sent router=killed request_id=c
+"""
+
+
+class RouterEndsTests(unittest.TestCase):
+    @params(("a", "router restarted"), ("b", "router silent"), ("c", ""))
+    def test_a_request_whose_router_ended_is_explained(self, name, reason):
+        lines = read_lines(ENDED_ROUTERS_LOG.splitlines())
+        found = {item.request_id: item for item in failed_requests(lines)}
+        self.assertEqual(found[name].outcome, "not ended")
+        self.assertEqual(found[name].reason, reason)
+        self.assertEqual(found[name].is_explained, bool(reason))
