Read the store at one router and pass its data down a tree of routers

Change: the routers form a tree (kernel/forwarding/proof_tree): the first router of each zone asks that of an earlier zone, eight routers of a zone ask one. Lists of routers come from the parent, by checksum; restarted routers don't write their entry again; limits follow the platform's bounds. While the store is away, routers whose parent is alive try it after 1.5 s, then each 3 s. Ruled out: one reader a region (half of the gain), longer polls (a watch proves nothing until it returns), datagrams with all entries (do not fit one packet at 195 routers).

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -29,16 +29,14 @@
 
 __all__ = ["DirectoryWatch"]
 
-# A poll that returns at once proves that the configuration is current, so the
-# proof is at most this old. Changes must be in force within 2,500 ms.
-CONFIG_POLL_MS = 1_000.0
 # Changes of upstreams end a long poll at once. Its length only bounds how long a
 # silent connection goes unnoticed, within the time allowed for leaving upstreams.
 UPSTREAM_WAIT_MS = 4_000.0
 # Many upstreams change together when a zone fails or all start; after this pause
 # one call reads them all. A leaving upstream must get no new work after 2,500 ms.
 GROUPING_MS = 300.0
-# A router that follows a peer checks this often whether it must read the store.
+# A router that gets its data from a peer checks this often whether it must read
+# the store.
 IDLE_POLL_S = 0.1
 RETRY_MIN_MS = 150.0
 RETRY_MAX_MS = 450.0
@@ -72,6 +70,7 @@
     is_unavailable: bool = False
     has_short_timeout: bool = False
     has_lost_history: bool = False
+    n_failures: int = 0
     call: asyncio.Task[WatchPosition] | None = None
 
 
@@ -132,8 +131,7 @@
             peer, state.peer_ahead = state.peer_ahead, None
             if peer is not None and await self._fetch_from(peer, kind):
                 continue
-            must_read_store = self._proof_source.must_read_store(self._clock.now_ms())
-            if revision is not None and peer is None and not must_read_store:
+            if revision is not None and peer is None and not self._must_read(kind):
                 await asyncio.sleep(IDLE_POLL_S)
                 continue
             if peer is not None:
@@ -150,14 +148,34 @@
             except StoreUnavailableError as error:
                 self._on_call(kind, "unavailable")
                 self._mark_unavailable(kind, str(error))
-                wait_ms = self._random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
-                await asyncio.sleep(wait_ms / 1000.0)
+                await asyncio.sleep(self._retry_pause_ms(state) / 1000.0)
             else:
                 self._on_call(kind, "answered")
                 self._mark_available(kind)
                 revision = position.revision
                 await self._pause(kind, position.next_at_ms)
 
+    def _must_read(self, kind: str) -> bool:
+        """Return whether this router must read the store now.
+
+        While the store does not respond, a router that reads for itself alone
+        tries it with one of the two kinds.
+        """
+        now_ms = self._clock.now_ms()
+        is_config_unavailable = self._states[CONFIG].is_unavailable
+        if kind == UPSTREAMS and is_config_unavailable:
+            is_reader = self._proof_source.retry_pause_ms(1, now_ms) is None
+            return is_reader and self._proof_source.must_read_store(now_ms)
+        return self._proof_source.must_read_store(now_ms)
+
+    def _retry_pause_ms(self, state: WatchState) -> float:
+        """Return the pause before the next call to a store that doesn't respond."""
+        now_ms = self._clock.now_ms()
+        pause_ms = self._proof_source.retry_pause_ms(state.n_failures, now_ms)
+        if pause_ms is None:
+            return self._random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
+        return pause_ms * self._random.uniform(0.8, 1.2)
+
     async def _fetch_from(self, peer: RouterEntry, kind: str) -> bool:
         """Fetch and apply a peer's data; return whether the peer answered."""
         try:
@@ -221,9 +239,10 @@
         else:
             reading = await self._store.watch_config(revision, 0.0)
         self._apply_reading(reading)
-        if self._view.table is not None:
-            self._view.lease.renew(sent_at_ms)
-        return WatchPosition(reading.revision, sent_at_ms + CONFIG_POLL_MS)
+        self._view.lease.renew(sent_at_ms)
+        self._proof_source.store_read(self._clock.now_ms())
+        interval_ms = self._proof_source.options.poll_interval_ms
+        return WatchPosition(reading.revision, sent_at_ms + interval_ms)
 
     def _may_start_stale(self, kind: str) -> bool:
         """Return whether the first read may return old data.
@@ -307,6 +326,7 @@
         if not state.is_unavailable:
             log_event("store_lost", what=kind, error=error)
         state.is_unavailable = True
+        state.n_failures += 1
 
     def _mark_available(self, kind: str) -> None:
         state = self._states[kind]
@@ -315,6 +335,7 @@
             log_event("store_regained", what=kind)
             self._cancel_stale_calls(state)
         state.is_unavailable = False
+        state.n_failures = 0
 
     def _cancel_stale_calls(self, answered: WatchState) -> None:
         """Cancel calls from before the outage, which may never be answered."""
--- a/packages/daemon/bronzeline_daemon/forwarding/engine_adopter.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/engine_adopter.py
@@ -11,6 +11,8 @@
     EngineClient,
     ForwardingView,
     ListedUpstream,
+    RouterEntry,
+    UpstreamAdopted,
 )
 from bronzeline_kernel.protocols import Clock
 
@@ -33,7 +35,7 @@
         self._clock = clock
         self._guard = AdoptionGuard()
         self._tasks = BackgroundTasks()
-        peers.on_adopted = self._on_peer_adopted
+        peers.listen(UpstreamAdopted, self._on_peer_adopted)
 
     def on_replaced(self, upstream_id: str) -> None:
         """Identify the process that now answers at an upstream's address."""
@@ -64,11 +66,11 @@
             self._peers.report_adopted(entry)
             self._adopt(entry, "own")
 
-    def _on_peer_adopted(self, entry: ListedUpstream) -> None:
+    def _on_peer_adopted(self, message: UpstreamAdopted, peer: RouterEntry) -> None:
         """Add an engine that a peer identified, if the store is unavailable."""
         proof_age_ms = self._view.lease.age_ms(self._clock.now_ms())
         if self._guard.is_store_unreachable(proof_age_ms):
-            self._adopt(entry, "peer")
+            self._adopt(message.entry, "peer")
 
     def _adopt(self, entry: ListedUpstream, source: str) -> None:
         if self._view.upstreams.adopt(entry):
--- a/packages/daemon/bronzeline_daemon/forwarding/peer_documents.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peer_documents.py
@@ -1,4 +1,4 @@
-"""Exchange configurations and large sets of upstream changes between peers.
+"""Exchange configurations, lists of routers and large sets of changes between peers.
 
 Datagrams carry small sets of changes; what does not fit into one is fetched
 over HTTP. So even after large changes only one router of a zone reads the store.
@@ -21,7 +21,9 @@
 from bronzeline_kernel.forwarding import (
     ForwardingConfig,
     ForwardingView,
+    PeerList,
     RouterEntry,
+    RouterListing,
     UpstreamChanges,
     UpstreamListing,
 )
@@ -33,6 +35,7 @@
 
 CONFIG_PATH = "/configuration"
 UPSTREAMS_PATH = "/upstreams"
+ROUTERS_PATH = "/routers"
 # A configuration of 300 routes is 120 KB, a tenth of that compressed, and takes
 # 20 ms at 5 Mbit/s, or 300 ms when all routers of a zone request it at once.
 # After this timeout the router reads the store.
@@ -46,13 +49,15 @@
 class PeerDocuments:
     """Serve this router's documents to peers, and fetch theirs."""
 
-    def __init__(self, view: ForwardingView, clock: Clock) -> None:
+    def __init__(self, view: ForwardingView, peer_list: PeerList, clock: Clock) -> None:
         self._view = view
+        self._peer_list = peer_list
         self._connection_pool = ConnectionPool(clock)
         self._codec = MessageCodec()
         self._codec.register(ForwardingConfig)
         self._codec.register(UpstreamListing)
         self._codec.register(UpstreamChanges)
+        self._codec.register(RouterListing)
         self._compressed: dict[str, tuple[int, bytes]] = {}
         self._server = HTTPServer(self._respond)
 
@@ -80,6 +85,10 @@
         path = f"{UPSTREAMS_PATH}?since={revision}"
         return await self._read(peer, path, (UpstreamListing, UpstreamChanges))
 
+    async def read_routers(self, peer: RouterEntry) -> RouterListing:
+        """Return a peer's list of all routers; raises `UpstreamError`."""
+        return await self._read(peer, ROUTERS_PATH, RouterListing)
+
     async def _read(
         self,
         peer: RouterEntry,
@@ -115,6 +124,10 @@
                 update = UpstreamChanges(changes, view.changes.revision)
                 return zlib.compress(self._codec.encode(update), COMPRESSION_LEVEL)
             return self._compress(path, view.changes.revision, view.listing())
+        if path == ROUTERS_PATH and self._peer_list.is_listed:
+            return self._compress(
+                path, self._peer_list.digest, self._peer_list.listing()
+            )
         return b""
 
     def _compress(self, path: str, version: int, document: object) -> bytes:
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -10,10 +10,9 @@
 
 from bronzeline_daemon.logs import log_event
 from bronzeline_daemon.message_codec import MessageCodec, PeerMessageError
-from bronzeline_kernel.exceptions import StoreUnavailableError
 from bronzeline_kernel.forwarding import (
     N_RUN_HOLDERS,
-    DirectoryStore,
+    Address,
     EngineLost,
     ForwardingSettings,
     Incarnation,
@@ -24,9 +23,10 @@
     Placement,
     ProofAsked,
     ProofGiven,
-    ProofRequest,
     RequestQuarantine,
     RouterEntry,
+    RouterListAsked,
+    RouterListGiven,
     RunAsked,
     RunDirectory,
     RunEnded,
@@ -41,12 +41,6 @@
 
 __all__ = ["ForwardingPeers"]
 
-# A possibly stale list costs a tenth of another call to the store. New routers
-# are known after one interval. When all routers start together, each reads the
-# store itself until it knows its peers, so the first intervals are short.
-FIRST_LIST_INTERVALS_S = (0.3, 0.5, 1.0, 2.0)
-LIST_INTERVAL_S = 4.0
-RETRY_S = 0.5
 # Load changes with every prompt, and a prompt takes a second or more. Changes
 # are reported to all zones, since a report of 100 bytes costs less than a prompt
 # that waits behind another.
@@ -66,6 +60,8 @@
     LoadReport,
     ProofAsked,
     ProofGiven,
+    RouterListAsked,
+    RouterListGiven,
     RunAsked,
     RunEnded,
     RunRecord,
@@ -75,6 +71,9 @@
     ZoneLost,
 )
 
+# Called with a message and the peer that sent it.
+Listener = Callable[[Any, RouterEntry], None]
+
 
 @dataclass
 class RunLookup:
@@ -94,20 +93,18 @@
     def __init__(
         self,
         settings: ForwardingSettings,
-        store: DirectoryStore,
         placement: Placement,
         runs: RunDirectory,
         quarantine: RequestQuarantine,
         clock: Clock,
         random: Random,
     ) -> None:
-        self._own = RouterEntry(
+        self.own = RouterEntry(
             settings.router_id,
             settings.peers.host,
             settings.peers.port,
             settings.availability_zone,
         )
-        self._store = store
         self._placement = placement
         self._runs = runs
         self._quarantine = quarantine
@@ -116,51 +113,44 @@
         self._codec = MessageCodec()
         for message_type in MESSAGE_TYPES:
             self._codec.register(message_type)
-        self._peers = PeerList(self._own)
+        self.peer_list = PeerList(self.own)
         self._transport: asyncio.DatagramTransport | None = None
         self._zone_reported_at_ms: dict[Zone, float] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._report_task: asyncio.Task[None] | None = None
         self._lookups: dict[str, RunLookup] = {}
-        self.on_proof_asked: Callable[[ProofAsked, RouterEntry], None] = (
-            _ignore_proof_request
-        )
-        self.on_proof_given: Callable[[ProofGiven, RouterEntry], None] = _ignore_proof
-        self.on_adopted: Callable[[ListedUpstream], None] = _ignore_adopted
+        self._listeners: dict[type[Any], Listener] = {}
         placement.health.on_zone_lost = self._report_zone_lost
 
     async def start(self) -> None:
-        """Bind the UDP port; start to list routers and to report load."""
+        """Bind the UDP port and start to report load."""
         loop = asyncio.get_running_loop()
-        address = (self._own.host, self._own.peer_port)
+        address = (self.own.host, self.own.peer_port)
         await loop.create_datagram_endpoint(lambda: self, local_addr=address)
-        self._tasks = [
-            asyncio.create_task(self._poll_router_list()),
-            asyncio.create_task(self._report_load()),
-        ]
+        self._report_task = asyncio.create_task(self._report_load())
 
     def stop(self) -> None:
-        """Cancel the background tasks and close the socket."""
-        for task in self._tasks:
-            task.cancel()
+        """Stop reporting and close the socket."""
+        if self._report_task is not None:
+            self._report_task.cancel()
         if self._transport is not None:
             self._transport.close()
 
     def share_run(self, record: RunRecord) -> None:
         """Send the record of a run's copy to the peers that hold it."""
-        self._send(record, self._peers.run_holders(record.request_hash))
+        self._send(record, self.peer_list.run_holders(record.request_hash))
 
     def end_run(self, request_hash: str) -> None:
         """Report the end of a run to the peers that hold its record."""
-        self._send(RunEnded(request_hash), self._peers.run_holders(request_hash))
+        self._send(RunEnded(request_hash), self.peer_list.run_holders(request_hash))
 
     async def find_run(self, request_hash: str) -> None:
         """Query peers for a run's record; wait for it or all answers, at most 60 ms."""
-        holders = self._peers.run_holders(request_hash)
-        holds_all_records = len(self._peers.in_zone) <= N_RUN_HOLDERS
+        holders = self.peer_list.run_holders(request_hash)
+        holds_all_records = len(self.peer_list.in_zone) <= N_RUN_HOLDERS
         if holds_all_records or request_hash in self._lookups:
             return
         lookup = self._lookups[request_hash] = RunLookup(len(holders))
-        self._send(RunAsked(request_hash, self._own.router_id), holders)
+        self._send(RunAsked(request_hash, self.own.router_id), holders)
         try:
             async with asyncio.timeout(FIND_RUN_TIMEOUT_S):
                 await lookup.is_done.wait()
@@ -171,27 +161,23 @@
 
     def report_replaced(self, upstream: Incarnation) -> None:
         """Report to all peers that an upstream's address has another process."""
-        self._send(UpstreamReplaced(*upstream), self._peers.all)
+        self._send(UpstreamReplaced(*upstream), self.peer_list.all)
 
     def report_adopted(self, entry: ListedUpstream) -> None:
         """Report to all peers an engine that the store does not list yet."""
-        self._send(UpstreamAdopted(entry), self._peers.all)
+        self._send(UpstreamAdopted(entry), self.peer_list.all)
 
     @property
     def n_routers(self) -> int:
         """Return the number of known routers, this one included."""
-        return len(self._peers) + 1
+        return len(self.peer_list) + 1
 
-    def ids_in_zone(self) -> list[str]:
-        """Return the ids of the peers in this router's zone."""
-        return [item.router_id for item in self._peers.in_zone]
+    def listen(self, message_type: type[Any], listener: Listener) -> None:
+        """Call a listener for each message of a type.
 
-    def request_proof(self, request: ProofRequest, upstream_revision: int) -> None:
-        """Request a peer's proof of how current its configuration is."""
-        peer = self._peers.get(request.router_id)
-        if peer is not None:
-            own_id = self._own.router_id
-            self.send_to(ProofAsked(own_id, request.number, upstream_revision), peer)
+        The entry of a router that is not listed yet has no id and no zone.
+        """
+        self._listeners[message_type] = listener
 
     def send_to(self, message: object, peer: RouterEntry) -> None:
         """Send a message to one peer; it may be lost."""
@@ -216,7 +202,7 @@
             case RunUnknown(request_hash):
                 self._on_lookup_answer(request_hash, is_found=False)
             case RunAsked(request_hash, router_id):
-                peer = self._peers.get(router_id)
+                peer = self.peer_list.get(router_id)
                 record = self._runs.pop_record(request_hash, now_ms)
                 if peer is not None:
                     self.send_to(record or RunUnknown(request_hash), peer)
@@ -224,24 +210,23 @@
                 self._runs.remove(request_hash)
             case ZoneLost(service, zone):
                 self._placement.health.record_peer_zone_loss((service, zone), now_ms)
-            case ProofAsked(router_id):
-                peer = self._peers.get(router_id)
-                if peer is not None:
-                    self.on_proof_asked(message, peer)
-            case ProofGiven():
-                peer = self._peers.find_by_address(addr[:2])
-                if peer is not None:
-                    self.on_proof_given(message, peer)
             case EngineLost():
                 self._quarantine.engine_lost(message, now_ms, is_own=False)
             case LoadReport(router_id, prompts, streams, copies):
                 load = LoadByUpstream(prompts, streams, copies)
                 self._placement.set_peer_load(router_id, load, now_ms)
-            case UpstreamAdopted(entry):
-                self.on_adopted(entry)
             case UpstreamReplaced(upstream_id, started_at_ms):
                 replaced = (upstream_id, started_at_ms)
                 self._placement.health.record_peer_replaced(replaced, now_ms)
+            case _:
+                self._call_listener(message, addr[:2])
+
+    def _call_listener(self, message: Any, address: Address) -> None:
+        """Pass a message on; a new router asks before its peers have listed it."""
+        peer = self.peer_list.find_by_address(address)
+        listener = self._listeners.get(type(message))
+        if listener is not None:
+            listener(message, peer or RouterEntry("", *address, ""))
 
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be delivered."""
@@ -252,7 +237,7 @@
         reported_at_ms = self._zone_reported_at_ms.get(zone, float("-inf"))
         if now_ms - reported_at_ms >= ZONE_LOST_INTERVAL_MS:
             self._zone_reported_at_ms[zone] = now_ms
-            self._send(ZoneLost(*zone), self._peers.all)
+            self._send(ZoneLost(*zone), self.peer_list.all)
 
     def _on_lookup_answer(self, request_hash: str, *, is_found: bool) -> None:
         lookup = self._lookups.get(request_hash)
@@ -275,23 +260,6 @@
         for peer in peers:
             self._transport.sendto(data, (peer.host, peer.peer_port))
 
-    async def _poll_router_list(self) -> None:
-        is_announced = False
-        pauses_s = iter(FIRST_LIST_INTERVALS_S)
-        while True:
-            try:
-                if not is_announced:
-                    await self._store.announce_router(self._own)
-                    is_announced = True
-                entries = await self._store.list_routers()
-            except StoreUnavailableError as error:
-                log_event("peers_not_listed", error=str(error))
-                await asyncio.sleep(RETRY_S * self._random.uniform(1.0, 2.0))
-                continue
-            self._peers.replace(entries)
-            pause_s = next(pauses_s, LIST_INTERVAL_S)
-            await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.2))
-
     async def _report_load(self) -> None:
         """Report load to the zone, changed prompts and engine deaths to all zones."""
         previous = LoadByUpstream()
@@ -300,7 +268,7 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
             for lost in self._quarantine.confirm_deaths(self._clock.now_ms()):
                 log_event("engine_died", upstream_id=lost.upstream_id)
-                self._send(lost, self._peers.all)
+                self._send(lost, self.peer_list.all)
             load = self._placement.own_load()
             has_new_prompts = load.prompts != previous.prompts
             n_unchanged = n_unchanged + 1 if load == previous else 0
@@ -309,23 +277,11 @@
             if is_idle or n_unchanged % REPEAT_EVERY_N_REPORTS:
                 continue
             report = LoadReport(
-                self._own.router_id,
+                self.own.router_id,
                 dict(load.prompts),
                 dict(load.streams),
                 dict(load.copies),
             )
-            self._send(report, self._sample_peers(self._peers.in_zone))
+            self._send(report, self._sample_peers(self.peer_list.in_zone))
             if has_new_prompts:
-                self._send(report, self._sample_peers(self._peers.in_other_zones))
-
-
-def _ignore_adopted(entry: ListedUpstream) -> None:
-    """Ignore a restarted engine while no callback is set."""
-
-
-def _ignore_proof_request(request: ProofAsked, peer: RouterEntry) -> None:
-    """Ignore a request for proof while no callback is set."""
-
-
-def _ignore_proof(proof: ProofGiven, peer: RouterEntry) -> None:
-    """Ignore a proof while no callback is set."""
+                self._send(report, self._sample_peers(self.peer_list.in_other_zones))
--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -41,8 +41,8 @@
         self._clock = clock
         self._was_reading_store = True
         self._task: asyncio.Task[None] | None = None
-        peers.on_proof_asked = self._on_proof_asked
-        peers.on_proof_given = self._on_proof_given
+        peers.listen(ProofAsked, self._on_proof_asked)
+        peers.listen(ProofGiven, self._on_proof_given)
 
     def start(self) -> None:
         """Start to request proofs from peers periodically."""
@@ -57,11 +57,12 @@
         while True:
             await asyncio.sleep(TICK_S)
             now_ms = self._clock.now_ms()
-            self._proof_source.set_peers(self._peers.ids_in_zone())
             request = self._proof_source.next_request(now_ms)
             if request is not None:
+                own_id = self._peers.own.router_id
                 revision = self._view.changes.revision
-                self._peers.request_proof(request, revision)
+                message = ProofAsked(own_id, request.number, revision)
+                self._peers.send_to(message, request.peer)
             self._log_role_change(now_ms)
 
     def _log_role_change(self, now_ms: float) -> None:
@@ -72,8 +73,9 @@
 
     def _on_proof_asked(self, request: ProofAsked, peer: RouterEntry) -> None:
         now_ms = self._clock.now_ms()
-        if self._view.table is None or not self._view.upstreams.is_loaded:
-            return
+        age_ms = self._view.lease.age_ms(now_ms)
+        if not self._view.upstreams.is_loaded:
+            age_ms = float("inf")
         changes = self._view.changes.since(request.upstream_revision)
         revision = self._view.changes.revision
         if changes is not None and len(changes) > MAX_CHANGES_AT_ONCE:
@@ -81,7 +83,7 @@
         proof = ProofGiven(
             request.number,
             self._view.version,
-            self._view.lease.age_ms(now_ms),
+            age_ms,
             revision,
             changes,
             self._view.upstreams.away_until_ms_ago(now_ms),
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -16,6 +16,7 @@
 from bronzeline_daemon.forwarding.peer_documents import PeerDocuments
 from bronzeline_daemon.forwarding.plain_response import send_plain_response
 from bronzeline_daemon.forwarding.proof_exchange import ProofExchange
+from bronzeline_daemon.forwarding.router_directory import RouterDirectory
 from bronzeline_daemon.forwarding.service import ForwardingService
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.forwarding import (
@@ -24,6 +25,7 @@
     ForwardingSettings,
     ForwardingView,
     LeaseTerms,
+    ProofOptions,
     ProofSource,
     StopPlan,
     WireFormat,
@@ -62,11 +64,14 @@
         self.random = Random(f"{settings.router_id}/{self.clock.now_ms()}")
         self.view = ForwardingView(_lease_terms(settings))
         self.service = ForwardingService(
-            settings, self.view, wire, engines, store, self.clock, self.random
+            settings, self.view, wire, engines, self.clock, self.random
         )
         self.frontend = CallerFrontend(wire, self.service.limits, self.service.handle)
-        self.source = ProofSource(settings.router_id)
-        self.documents = PeerDocuments(self.view, self.clock)
+        peers = self.service.peers
+        self.source = ProofSource(
+            peers.own, _proof_options(settings), self.clock.now_ms()
+        )
+        self.documents = PeerDocuments(self.view, peers.peer_list, self.clock)
         self.watch = DirectoryWatch(
             store,
             self.view,
@@ -78,7 +83,10 @@
             self.service.metrics.store_called,
         )
         self.proofs = ProofExchange(
-            self.view, self.source, self.watch, self.service.peers, self.clock
+            self.view, self.source, self.watch, peers, self.clock
+        )
+        self.directory = RouterDirectory(
+            store, peers, self.source, self.documents, self.clock, self.random
         )
         self._store = store
         self._add_gauges()
@@ -101,6 +109,7 @@
         await self.service.peers.start()
         self.documents.start(self.settings.peers.host, self.settings.peers.port)
         self.proofs.start()
+        self.directory.start()
         for server, address in (
             (self._readiness, self.settings.readiness),
             (self.frontend.server, self.settings.callers),
@@ -115,6 +124,7 @@
     def apply_settings(self, settings: ForwardingSettings) -> None:
         """Apply changed time limits; addresses only change with a restart."""
         self.view.lease.terms = _lease_terms(settings)
+        self.source.options = _proof_options(settings)
         self.settings = settings
         log_event("settings_taken", router=settings.router_id)
 
@@ -134,6 +144,7 @@
             self._maintenance_task.cancel()
         self.watch.stop()
         self.proofs.stop()
+        self.directory.stop()
         self.service.peers.stop()
         self.documents.stop()
         for server in (self.frontend.server, self._readiness, self._metrics_server):
@@ -182,3 +193,12 @@
 def _lease_terms(settings: ForwardingSettings) -> LeaseTerms:
     max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
     return LeaseTerms(max_age_ms, READY_RATIO * max_age_ms)
+
+
+def _proof_options(settings: ForwardingSettings) -> ProofOptions:
+    limit_ms = min(
+        settings.config_in_force_ms,
+        settings.leaving_in_force_ms,
+        _lease_terms(settings).ready_age_ms,
+    )
+    return ProofOptions.within(limit_ms)
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -26,7 +26,6 @@
     CallerLimits,
     CallerRequest,
     CallRun,
-    DirectoryStore,
     EngineClient,
     ForwardingSettings,
     ForwardingView,
@@ -66,7 +65,6 @@
         view: ForwardingView,
         wire: WireFormat,
         engines: EngineClient,
-        store: DirectoryStore,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -82,7 +80,7 @@
         self._quarantine = RequestQuarantine()
         self._runs = RunDirectory(view.upstreams)
         self.peers = ForwardingPeers(
-            settings, store, self.placement, self._runs, self._quarantine, clock, random
+            settings, self.placement, self._runs, self._quarantine, clock, random
         )
         self._engine_adopter = EngineAdopter(view, engines, self.peers, clock)
         self._budgets = BudgetShare(settings.retry_ratio, settings.n_retry_reserve)
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
@@ -8,6 +8,7 @@
 from bronzeline_kernel.forwarding import (
     ForwardingView,
     LeaseTerms,
+    PeerList,
     RouterEntry,
     UpstreamChange,
     UpstreamListing,
@@ -15,6 +16,8 @@
 from bronzeline_kernel.tests.forwarding.samples import config, fleet, route
 from bronzeline_standins.ports import free_port
 
+OWN = RouterEntry("router-0", "127.0.0.1", 1, "zone-a")
+
 
 def make_view(version=0, upstreams=()):
     result = ForwardingView(LeaseTerms(4_700.0, 3_400.0))
@@ -29,11 +32,14 @@
     async def asyncSetUp(self):
         self.port = free_port()
         self.peer = RouterEntry("router-1", "127.0.0.1", self.port, "zone-a")
-        self.reader = PeerDocuments(make_view(), BootClock())
+        self.reader = PeerDocuments(make_view(), PeerList(OWN), BootClock())
         self.addCleanup(self.reader.stop)
 
-    def serve(self, view):
-        server = PeerDocuments(view, BootClock())
+    def serve(self, view, routers=()):
+        peer_list = PeerList(self.peer)
+        if routers:
+            peer_list.replace(routers)
+        server = PeerDocuments(view, peer_list, BootClock())
         server.start("127.0.0.1", self.port)
         self.addCleanup(server.stop)
         return server
@@ -46,6 +52,16 @@
         listing = await self.reader.read_upstreams(self.peer, 0)
         self.assertEqual((listing.upstreams, listing.revision), (tuple(fleet()), 7))
 
+    async def test_the_list_of_routers_includes_the_peer_itself(self):
+        self.serve(make_view(), [OWN])
+        listing = await self.reader.read_routers(self.peer)
+        self.assertEqual(set(listing.routers), {OWN, self.peer})
+
+    async def test_a_list_that_was_not_read_yet_is_not_sent(self):
+        self.serve(make_view())
+        with self.assertRaises(UpstreamError):
+            await self.reader.read_routers(self.peer)
+
     async def test_sends_only_changes_if_they_are_known(self):
         view = make_view(4, fleet())
         change = UpstreamChange("zone-a-0", None)
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -50,6 +50,9 @@
     ProofAsked,
     ProofGiven,
     RouterEntry,
+    RouterListAsked,
+    RouterListGiven,
+    RouterListing,
     RunAsked,
     RunEnded,
     RunUnknown,
@@ -70,6 +73,7 @@
     ProofRequest,
     ProofSource,
 )
+from bronzeline_kernel.forwarding.proof_tree import FAN_OUT, find_parent
 from bronzeline_kernel.forwarding.protocols import (
     ConfigReading,
     DirectoryStore,
@@ -104,6 +108,7 @@
 from bronzeline_kernel.forwarding.view import ForwardingView
 
 __all__ = [
+    "FAN_OUT",
     "N_RUN_HOLDERS",
     "Abandon",
     "Action",
@@ -164,6 +169,9 @@
     "Route",
     "RouteTable",
     "RouterEntry",
+    "RouterListAsked",
+    "RouterListGiven",
+    "RouterListing",
     "RunAsked",
     "RunDirectory",
     "RunEnded",
@@ -190,5 +198,6 @@
     "Zone",
     "ZoneLost",
     "admit",
+    "find_parent",
     "request_hash",
 ]
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_list.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_list.py
@@ -7,7 +7,7 @@
 from itertools import chain, islice
 from zlib import crc32
 
-from bronzeline_kernel.forwarding.peer_messages import RouterEntry
+from bronzeline_kernel.forwarding.peer_messages import RouterEntry, RouterListing
 from bronzeline_kernel.forwarding.upstream_set import Address
 
 __all__ = ["N_RUN_HOLDERS", "PeerList"]
@@ -22,6 +22,8 @@
 
     def __init__(self, own: RouterEntry) -> None:
         self._own = own
+        self.digest = 0
+        self.all: tuple[RouterEntry, ...] = ()
         self._by_id: dict[str, RouterEntry] = {}
         self._by_address: dict[Address, RouterEntry] = {}
         self.in_zone: tuple[RouterEntry, ...] = ()
@@ -34,14 +36,32 @@
         return len(self._by_id)
 
     @property
-    def all(self) -> tuple[RouterEntry, ...]:
-        """Return every peer."""
-        return (*self.in_zone, *self.in_other_zones)
+    def is_listed(self) -> bool:
+        """Return whether a list of routers was read."""
+        return self.digest != 0
 
-    def replace(self, entries: Iterable[RouterEntry]) -> None:
-        """Replace the list of routers; this router's entry is skipped."""
-        peers = [item for item in entries if item.router_id != self._own.router_id]
+    def listing(self) -> RouterListing:
+        """Return the list of all routers, for a peer."""
+        return RouterListing((self._own, *self.all))
+
+    def replace(self, entries: Iterable[RouterEntry]) -> bool:
+        """Replace the list of routers; return whether it changed.
+
+        This router is always part of the list.
+        """
+        by_id = {item.router_id: item for item in (*entries, self._own)}
+        routers = [by_id[router_id] for router_id in sorted(by_id)]
+        digest = _digest(routers)
+        if digest == self.digest:
+            return False
+        self.digest = digest
+        self._index(routers)
+        return True
+
+    def _index(self, routers: Iterable[RouterEntry]) -> None:
+        peers = [item for item in routers if item.router_id != self._own.router_id]
         zone = self._own.availability_zone
+        self.all = tuple(peers)
         self._by_id = {item.router_id: item for item in peers}
         self._by_address = {(item.host, item.peer_port): item for item in peers}
         self.in_zone = tuple(x for x in peers if x.availability_zone == zone)
@@ -62,3 +82,12 @@
         start = bisect(self._ring, crc32(request_hash.encode()), key=lambda x: x[0])
         following = chain(self._ring[start:], self._ring[:start])
         return [item for _, item in islice(following, N_RUN_HOLDERS)]
+
+
+def _digest(routers: Iterable[RouterEntry]) -> int:
+    """Return a checksum of a sorted list, never 0."""
+    text = "\n".join(
+        f"{item.router_id} {item.host} {item.peer_port} {item.availability_zone}"
+        for item in routers
+    )
+    return crc32(text.encode()) or 1
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -13,6 +13,9 @@
     "ProofAsked",
     "ProofGiven",
     "RouterEntry",
+    "RouterListAsked",
+    "RouterListGiven",
+    "RouterListing",
     "RunAsked",
     "RunEnded",
     "RunRecord",
@@ -33,6 +36,27 @@
     availability_zone: str
 
 
+@dataclass(frozen=True)
+class RouterListing:
+    """Hold the entries of all routers."""
+
+    routers: tuple[RouterEntry, ...]
+
+
+@dataclass(frozen=True)
+class RouterListAsked:
+    """Request the checksum of a peer's list of routers."""
+
+    digest: int
+
+
+@dataclass(frozen=True)
+class RouterListGiven:
+    """Report the checksum of this router's list of routers."""
+
+    digest: int
+
+
 @dataclass(frozen=True)
 class RunEnded:
     """Notify peers that a run ended and its copy is no longer needed."""
--- a/packages/kernel/bronzeline_kernel/forwarding/settings.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/settings.py
@@ -32,6 +32,10 @@
     store: SocketAddress
     # Time after the revocation of a key during which requests with it may run.
     key_revocation_ms: float
+    # Time in which a change of the configuration or an upstream's leaving must be
+    # in force on every router.
+    config_in_force_ms: float
+    leaving_in_force_ms: float
     # Time from the request to stop until the process is killed.
     stop_grace_ms: float
     # Retries allowed to all routers together: a share of the requests, plus
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/peer_list_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/peer_list_tests.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from nose2.tools import params
 
@@ -32,6 +33,21 @@
         self.assertEqual(self.peers.all, (router(1),))
         self.assertIsNone(self.peers.get("zone-a-3"))
 
+    @params(
+        ([OWN, router(1)], True),
+        ([router(1)], True),
+        ([router(1), router(2)], False),
+        ([replace(router(1), host="10.0.0.9")], False),
+    )
+    def test_lists_with_the_same_routers_have_the_same_checksum(self, entries, same):
+        first, second = PeerList(OWN), PeerList(OWN)
+        self.assertFalse(first.is_listed)
+        self.assertTrue(first.replace([router(1)]))
+        second.replace(entries)
+        self.assertEqual(first.digest == second.digest, same)
+        self.assertEqual(first.replace(entries), not same)
+        self.assertIn(OWN, first.listing().routers)
+
     @params((0, 0), (1, 1), (2, 2), (8, 3))
     def test_number_of_holders_is_three_or_all_peers(self, n_peers, n_holders):
         self.peers.replace([router(number) for number in range(1, n_peers + 1)])
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/proof_source_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/proof_source_tests.py
@@ -4,75 +4,91 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
-from bronzeline_kernel.forwarding import ProofOptions, ProofSource
+from bronzeline_kernel.forwarding import ProofOptions, ProofSource, RouterEntry
 
-OPTIONS = ProofOptions()
+LIMIT_MS = 2_500.0
+OPTIONS = ProofOptions.within(LIMIT_MS)
+# When the grace time of routers that start together has passed.
+STARTED_MS = OPTIONS.start_grace_ms
 
 
-def source(own_id="r5", peers=("r1", "r2", "r9")):
-    proof_source = ProofSource(own_id)
-    proof_source.set_peers(peers)
+def router(name):
+    return RouterEntry(name, "10.0.0.1", 7_200, name.partition("-")[0])
+
+
+PEERS = ("a-1", "a-2", "b-1", "b-3", "b-4")
+
+
+def source(own_id="b-2", peers=PEERS):
+    proof_source = ProofSource(router(own_id), OPTIONS, 0.0)
+    proof_source.set_peers([router(name) for name in peers if name != own_id], 0.0)
     return proof_source
 
 
-class ProofSourceTests(unittest.TestCase):
-    def test_router_with_lowest_id_reads_the_store(self):
-        lowest = source("r0")
-        self.assertIsNone(lowest.next_request(0.0))
-        self.assertTrue(lowest.must_read_store(0.0))
+def prove(proof_source, now_ms, age_ms=0.0):
+    """Request and accept a proof; return the id of the peer that was asked."""
+    request = proof_source.next_request(now_ms)
+    proof_source.accept_proof(request.number, age_ms, now_ms)
+    return request.peer.router_id
 
-    @params((0.0, False), (1_700.0, False), (1_800.0, True))
-    def test_recent_proof_of_peer_replaces_reading(self, later_ms, expected):
-        follower = source()
-        request = follower.next_request(1_000.0)
-        self.assertEqual(request.router_id, "r1")
-        self.assertEqual(follower.accept_proof(request.number, 0.0, 1_010.0), 1_000.0)
-        self.assertEqual(follower.must_read_store(1_010.0 + later_ms), expected)
 
-    def test_old_proof_is_dated_but_does_not_replace_reading(self):
-        follower = source()
-        request = follower.next_request(5_000.0)
-        self.assertEqual(
-            follower.accept_proof(request.number, 2_000.0, 5_010.0), 3_000.0
+def ask_unanswered(proof_source, now_ms, n_requests):
+    """Return the ids of the peers asked by requests without a response."""
+    asked = []
+    for number in range(n_requests):
+        request = proof_source.next_request(
+            now_ms + number * OPTIONS.unanswered_interval_ms
         )
-        self.assertTrue(follower.must_read_store(5_010.0))
+        asked.append(request.peer.router_id if request else None)
+    return asked
+
+
+class ProofSourceTests(unittest.TestCase):
+    @params(("a-1", None), ("a-2", "a-1"), ("b-1", "a-1"), ("b-4", "b-1"))
+    def test_a_router_asks_its_parent_and_the_root_reads_the_store(
+        self, own_id, parent_id
+    ):
+        proof_source = source(own_id)
+        request = proof_source.next_request(0.0)
+        self.assertEqual(request and request.peer.router_id, parent_id)
+        self.assertEqual(proof_source.must_read_store(0.0), parent_id is None)
+
+    @params(
+        ("b-2", OPTIONS.max_age_ms),
+        ("b-1", OPTIONS.first_of_zone_max_age_ms),
+    )
+    def test_a_recent_proof_replaces_reading(self, own_id, max_age_ms):
+        follower = source(own_id)
+        at_ms = 2.0 * STARTED_MS
+        request = follower.next_request(at_ms)
+        self.assertEqual(follower.accept_proof(request.number, 0.0, at_ms + 10), at_ms)
+        self.assertFalse(follower.must_read_store(at_ms + max_age_ms - 1.0))
+        self.assertTrue(follower.must_read_store(at_ms + max_age_ms))
 
     @params((9, 0.0), (1, -1.0), (1, float("inf")), (1, float("nan")))
-    def test_unrequested_or_invalid_proof_is_ignored(self, number, age_ms):
+    def test_an_unrequested_or_invalid_proof_is_ignored(self, number, age_ms):
         follower = source()
-        follower.next_request(0.0)
-        self.assertIsNone(follower.accept_proof(number, age_ms, 1.0))
-        self.assertTrue(follower.must_read_store(1.0))
+        follower.next_request(STARTED_MS)
+        self.assertIsNone(follower.accept_proof(number, age_ms, STARTED_MS))
+        self.assertTrue(follower.must_read_store(STARTED_MS))
 
-    def test_reply_counts_once(self):
+    def test_a_response_counts_once(self):
         follower = source()
         request = follower.next_request(0.0)
         follower.accept_proof(request.number, 0.0, 1.0)
         self.assertIsNone(follower.accept_proof(request.number, 0.0, 2.0))
 
-    def test_next_peer_is_asked_after_unanswered_requests(self):
-        follower, router_ids = source(), []
-        for step in range(6):
-            router_ids.append(
-                follower.next_request(step * OPTIONS.request_interval_ms).router_id
-            )
-        self.assertEqual(router_ids, ["r1", "r1", "r2", "r2", "r1", "r1"])
-
     def test_requests_keep_the_interval(self):
         follower = source()
-        self.assertIsNotNone(follower.next_request(0.0))
+        prove(follower, 0.0)
         self.assertIsNone(follower.next_request(OPTIONS.request_interval_ms - 1.0))
         self.assertIsNotNone(follower.next_request(OPTIONS.request_interval_ms))
 
-    @given(
-        st.floats(0, 5_000),
-        st.floats(0, 5_000),
-        st.floats(0, 60_000),
-    )
+    @given(st.floats(0, 5_000), st.floats(0, 5_000), st.floats(0, 60_000))
     def test_delays_never_make_a_proof_appear_newer(
         self, age_at_reply_ms, request_delay_ms, reply_delay_ms
     ):
-        """The request, the reply or both are delayed, e.g. by a suspended VM."""
+        """The request, the response or both are delayed, e.g. by a suspended VM."""
         follower = source()
         request = follower.next_request(0.0)
         current_at_ms = request_delay_ms - age_at_reply_ms
@@ -81,5 +97,80 @@
             request.number, age_at_reply_ms, arrived_ms
         )
         self.assertLessEqual(proven_at_ms, current_at_ms)
-        if not follower.must_read_store(arrived_ms):
+        if arrived_ms >= STARTED_MS and not follower.must_read_store(arrived_ms):
             self.assertLess(arrived_ms - current_at_ms, OPTIONS.max_age_ms)
+
+
+class LostParentTests(unittest.TestCase):
+    def test_the_next_router_is_asked_when_the_parent_does_not_respond(self):
+        follower = source("b-4")
+        prove(follower, STARTED_MS)
+        asked = ask_unanswered(follower, 2.0 * STARTED_MS, 5)
+        self.assertEqual(asked, ["b-1", "b-1", "b-1", "b-3", "b-3"])
+
+    def test_the_second_router_replaces_a_lost_root_before_proofs_are_old(self):
+        second = source("a-2")
+        prove(second, STARTED_MS)
+        asked_ms = STARTED_MS + OPTIONS.request_interval_ms
+        ask_unanswered(second, asked_ms, OPTIONS.requests_per_peer + 1)
+        took_over_ms = (
+            asked_ms + OPTIONS.requests_per_peer * OPTIONS.unanswered_interval_ms
+        )
+        self.assertTrue(second.must_read_store(took_over_ms))
+        self.assertLess(
+            took_over_ms - STARTED_MS + OPTIONS.poll_interval_ms,
+            OPTIONS.first_of_zone_max_age_ms,
+        )
+
+    def test_a_lost_parent_is_asked_again_later(self):
+        follower = source()
+        prove(follower, STARTED_MS)
+        ask_unanswered(follower, 2.0 * STARTED_MS, 4)
+        later_ms = 3.0 * STARTED_MS + OPTIONS.avoid_ms
+        self.assertEqual(prove(follower, later_ms), "b-1")
+
+    def test_no_parent_is_avoided_while_routers_start(self):
+        follower = source()
+        asked = ask_unanswered(follower, 0.0, 8)
+        self.assertEqual(set(asked), {"b-1"})
+        self.assertFalse(follower.must_read_store(STARTED_MS - 1.0))
+        self.assertTrue(follower.must_read_store(STARTED_MS))
+
+    def test_a_parent_that_can_not_read_the_store_is_avoided_once_it_can_be_read(self):
+        follower = source()
+        prove(follower, STARTED_MS)
+        old_ms = STARTED_MS + OPTIONS.max_age_ms
+        self.assertEqual(prove(follower, old_ms, OPTIONS.max_age_ms), "b-1")
+        self.assertTrue(follower.must_read_store(old_ms))
+        follower.store_read(old_ms)
+        self.assertIsNone(follower.next_request(old_ms))
+        self.assertTrue(follower.must_read_store(old_ms))
+
+    def test_a_parent_with_a_recent_proof_stays(self):
+        follower = source()
+        prove(follower, STARTED_MS)
+        follower.store_read(STARTED_MS)
+        self.assertEqual(follower.parent(STARTED_MS).router_id, "b-1")
+
+
+class OutageTests(unittest.TestCase):
+    @params(("a-1", None), ("b-1", None), ("a-2", OPTIONS.first_retry_ms))
+    def test_only_the_first_of_a_zone_retries_at_once(self, own_id, pause_ms):
+        self.assertEqual(source(own_id).retry_pause_ms(1, STARTED_MS), pause_ms)
+
+    @params((0, 1_500.0), (1, 1_500.0), (2, 3_000.0), (9, 3_000.0))
+    def test_the_pause_grows_to_a_limit(self, n_failures, pause_ms):
+        self.assertEqual(source().retry_pause_ms(n_failures, STARTED_MS), pause_ms)
+
+    def test_a_fleet_calls_a_store_that_is_away_less_often_than_once_a_router(self):
+        """Each router calls once its proof is old, and again after its pauses."""
+        outage_ms, n_calls = 8_000.0, 0
+        for number in range(195):
+            follower = source("b-9", [f"b-{n}" for n in range(1, 9)])
+            prove(follower, STARTED_MS)
+            now_ms, n_failures = STARTED_MS + OPTIONS.max_age_ms + number, 0
+            while now_ms < STARTED_MS + outage_ms:
+                n_calls += follower.must_read_store(now_ms)
+                n_failures += 1
+                now_ms += follower.retry_pause_ms(n_failures, now_ms)
+        self.assertLess(n_calls / 195 / (outage_ms / 1_000.0), 0.5)
