Bound what responses without end may take

Chunks of one byte held the loop for 0.14 s. Change: a budget for the buffered bytes of all responses and of one upstream (1/32 and 1/64 of limits.memory-mb for each kind of connection); what is over it closes the channel, counts as a failure (too_large) and is answered 502, or the stream goes on elsewhere. Streams wait for a caller that does not read; an event has 64 KB at most; repeated events are limited. At most 4 KB are read from all connections in a turn of the loop, 2 KB from one. Heads have 16 KB, documents of peers 16 MB unpacked; the product's HTTP client buffers 8 MB. Ruled out: yielding after each delivered chunk (tornado joins small ones before it delivers them); its own yield lets 256 chunks pass for each connection (0.11 to 0.22 s with 16 of them).

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from bronzeline_daemon.forwarding.connection_pool import Connection, ConnectionPool
@@ -24,6 +24,9 @@
 # for this long afterwards, so that the outcome of a non-idempotent request is
 # logged.
 OUTCOME_GRACE_MS = 1_000.0
+# The body of a rejection is read to its end, so that the connection can be reused,
+# unless it is longer than this.
+MAX_UNUSED_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True)
@@ -31,7 +34,7 @@
     """Hold the callbacks for the events of an attempt."""
 
     on_head: Callable[[int, ResponseHead], None]
-    on_data: Callable[[int, bytes], None]
+    on_data: Callable[[int, bytes], Awaitable[None] | None]
     on_complete: Callable[[int], None]
     on_lost: Callable[[int, Fault], None]
 
@@ -51,6 +54,7 @@
     _connection: Connection | None = None
     _task: asyncio.Task[None] | None = field(default=None)
     _is_abandoned: bool = False
+    _n_unused_bytes: int = 0
 
     def start(self) -> None:
         """Start in the background; abandon the attempt at the end of the grace time."""
@@ -112,9 +116,15 @@
             self.listener.on_head(self.send.number, head)
         return True
 
-    def _on_data(self, chunk: bytes) -> None:
-        if not self._is_abandoned and self._head_fault() is None:
-            self.listener.on_data(self.send.number, chunk)
+    def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._is_abandoned:
+            return None
+        if self._head_fault() is None:
+            return self.listener.on_data(self.send.number, chunk)
+        self._n_unused_bytes += len(chunk)
+        if self._n_unused_bytes > MAX_UNUSED_BYTES and self._connection is not None:
+            self._connection.close()
+        return None
 
     def _head_fault(self) -> Fault | None:
         """Return the fault that the response's head shows, or None."""
--- a/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
@@ -29,15 +29,14 @@
     ) -> None:
         super().__init__(context, run, request, workspace, response, hash_of_request)
         self._run = run
-        self._chunks: dict[int, list[bytes]] = {}
 
     def on_head(self, number: int, head: ResponseHead) -> None:
         """Start to buffer the body of an attempt's response."""
-        self._chunks[number] = []
+        self.start_buffer(number)
 
     def on_data(self, number: int, chunk: bytes) -> None:
         """Buffer a chunk of the body."""
-        self._chunks[number].append(chunk)
+        self.buffer(number, chunk)
 
     def on_complete(self, number: int) -> None:
         """Report to the state machine that an attempt's response is complete."""
@@ -47,4 +46,4 @@
         """Send the buffered response to the caller."""
         head = self.head_of(number)
         assert head is not None
-        self.response.send(head.status, head.headers, b"".join(self._chunks[number]))
+        self.response.send(head.status, head.headers, self.pop_buffer(number))
--- a/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 from http.client import responses
 
@@ -15,6 +16,7 @@
 __all__ = ["CallerResponse"]
 
 # Headers that are not forwarded: the response to the caller is framed anew.
+DRAIN_POLL_S = 0.02
 DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"proxy-authenticate"}
 
 
@@ -27,6 +29,19 @@
         self.is_over = False
         self.is_disconnected = False
         self.is_incomplete = False
+        self._n_unsent_bytes = 0
+
+    @property
+    def n_unsent_bytes(self) -> int:
+        """Return how many bytes were written since the caller last read them all."""
+        if not self._connection.stream.writing():
+            self._n_unsent_bytes = 0
+        return self._n_unsent_bytes
+
+    async def drain(self) -> None:
+        """Wait until the caller has read what was written, or has disconnected."""
+        while self.n_unsent_bytes and not (self.is_over or self.is_disconnected):
+            await asyncio.sleep(DRAIN_POLL_S)
 
     def set_close_callback(self, callback: Callable[[], None]) -> None:
         """Call back when the caller disconnects before the response is complete."""
@@ -56,6 +71,7 @@
     def write(self, chunk: bytes) -> None:
         """Send a chunk of the body."""
         if not self.is_over and not self.is_disconnected:
+            self._n_unsent_bytes = self.n_unsent_bytes + len(chunk)
             self._connection.write(chunk).add_done_callback(consume_exception)
 
     def finish(self) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
@@ -7,11 +7,13 @@
 import socket
 from collections import deque
 from dataclasses import dataclass
+from typing import ClassVar
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from bronzeline_daemon.forwarding.read_limit import ReadLimit
 from bronzeline_kernel.exceptions import UpstreamUnreachableError
-from bronzeline_kernel.forwarding import Address
+from bronzeline_kernel.forwarding import Address, ResponseBudget, ResponseLimits
 from bronzeline_kernel.protocols import Clock
 
 __all__ = ["Connection", "ConnectionPool", "accepts_connection", "set_liveness_options"]
@@ -34,7 +36,20 @@
 
 
 class Connection(IOStream):
-    """Extend tornado's stream by a check whether the connection is idle."""
+    """Extend tornado's stream by a limit for reads and a check whether it is idle."""
+
+    # All connections of the process share one event loop.
+    read_limit: ClassVar[ReadLimit] = ReadLimit()
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read into a buffer; return None if nothing may be read in this turn."""
+        n_allowed = self.read_limit.n_allowed(id(self))
+        if not n_allowed:
+            return None
+        n_read = super().read_from_fd(memoryview(buf)[:n_allowed])
+        if n_read:
+            self.read_limit.record(id(self), n_read)
+        return n_read
 
     @property
     def is_idle(self) -> bool:
@@ -58,10 +73,11 @@
 
 
 class ConnectionPool:
-    """Pool idle connections by address."""
+    """Pool idle connections by address, and limit what their responses buffer."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, limits: ResponseLimits | None = None) -> None:
         self._clock = clock
+        self.response_budget = ResponseBudget(limits or ResponseLimits())
         self._idle: dict[Address, deque[IdleConnection]] = {}
         self.n_opened = 0
 
--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -18,15 +18,27 @@
 from bronzeline_daemon.forwarding.connection_pool import ConnectionPool
 from bronzeline_daemon.futures import consume_exception
 from bronzeline_kernel.exceptions import StreamBrokenError
-from bronzeline_kernel.forwarding import Address, Header
+from bronzeline_kernel.forwarding import Address, Header, ResponseBuffer
 
 __all__ = ["Exchange", "HttpResponse", "OutgoingRequest", "fetch"]
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Streams have no limit: their events are passed on as they arrive.
+MAX_RESPONSE_BYTES = 2**63
+MAX_HEAD_BYTES = 16 * 1024
+READ_CHUNK_BYTES = 16 * 1024
+# A response that belongs to no request is read to its end up to this size.
+MAX_FOREIGN_BYTES = 256 * 1024
 # A reused connection may first deliver responses that belong to no open request;
 # at most this many responses are read.
 MAX_FOREIGN_RESPONSES = 3
-PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_RESPONSE_BYTES)
+PARAMETERS = HTTP1ConnectionParameters(
+    max_header_size=MAX_HEAD_BYTES,
+    max_body_size=MAX_RESPONSE_BYTES,
+    chunk_size=READ_CHUNK_BYTES,
+)
+
+# Handles a chunk of a body; what it returns is awaited before the next chunk.
+OnData = Callable[[bytes], Awaitable[None] | None]
 
 
 @dataclass(frozen=True)
@@ -48,10 +60,6 @@
     body: bytes
 
 
-def _discard(data: bytes) -> None:
-    """Ignore bytes of a response that belongs to no request."""
-
-
 @dataclass
 class Exchange(HTTPMessageDelegate):
     """Read the response to one request on one connection.
@@ -62,12 +70,12 @@
 
     stream: IOStream
     on_head: Callable[[int, list[Header]], bool]
-    on_data: Callable[[bytes], None]
+    on_data: OnData
     has_response: bool = False
     is_framed: bool = False
     closes_connection: bool = False
     _is_complete: bool = False
-    _on_body: Callable[[bytes], None] = field(default=_discard)
+    _n_foreign_bytes: int = 0
 
     async def run(self, request: OutgoingRequest) -> None:
         """Return once the response is complete; raises `StreamBrokenError`."""
@@ -110,11 +118,13 @@
         )
         self.closes_connection = "close" in headers.get("Connection", "").lower()
         self.has_response = self.on_head(start_line.code, listed)
-        self._on_body = self.on_data if self.has_response else _discard
 
-    def data_received(self, chunk: bytes) -> None:
-        """Pass on a chunk of the body."""
-        self._on_body(chunk)
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Pass on a chunk of the body, or discard one that belongs to no request."""
+        if not self.has_response:
+            self._discard(chunk)
+            return None
+        return self.on_data(chunk)
 
     def finish(self) -> None:
         """Mark the response as complete, unless the connection was reset."""
@@ -124,6 +134,11 @@
         """Mark the response as incomplete: the connection closed."""
         self._is_complete = False
 
+    def _discard(self, chunk: bytes) -> None:
+        self._n_foreign_bytes += len(chunk)
+        if self._n_foreign_bytes > MAX_FOREIGN_BYTES:
+            self.stream.close()
+
     def _write(self, connection: HTTP1Connection, request: OutgoingRequest) -> None:
         headers = HTTPHeaders()
         for name, value in request.headers:
@@ -145,27 +160,39 @@
     """Send a request and return its complete response.
 
     Raises `UpstreamUnreachableError` when nothing was sent and
-    `StreamBrokenError` when the response is incomplete or exceeds the timeout.
+    `StreamBrokenError` when the response is incomplete, exceeds the timeout or
+    the pool's limit for buffered responses.
     """
     connection = await connection_pool.acquire(address, timeout_ms)
     response = HttpResponse(0, [], b"")
-    chunks: list[bytes] = []
+    buffer = ResponseBuffer(connection_pool.response_budget, address)
+    is_too_large = False
 
     def on_head(status: int, headers: Iterable[Header]) -> bool:
         response.status = status
         response.headers = list(headers)
         return True
 
-    exchange = Exchange(connection, on_head, chunks.append)
+    def on_data(chunk: bytes) -> None:
+        nonlocal is_too_large
+        if not buffer.append(chunk):
+            is_too_large = True
+            connection.close()
+
+    exchange = Exchange(connection, on_head, on_data)
     try:
         async with asyncio.timeout(timeout_ms / 1000.0):
             await exchange.run(request)
     except TimeoutError:
         raise StreamBrokenError(f"no response within {timeout_ms:.0f} ms") from None
+    except StreamBrokenError:
+        if is_too_large:
+            raise StreamBrokenError("the response is too large") from None
+        raise
     finally:
+        response.body = buffer.pop()
         if exchange.is_reusable:
             connection_pool.release(address, connection, None)
         else:
             connection.close()
-    response.body = b"".join(chunks)
     return response
--- a/packages/daemon/bronzeline_daemon/forwarding/peer_documents.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peer_documents.py
@@ -44,6 +44,8 @@
 # compresses tenfold.
 COMPRESSION_LEVEL = 1
 OK = 200
+# A list of 12,000 upstreams takes 7 MB.
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
 
 class PeerDocuments:
@@ -101,7 +103,7 @@
         if response.status != OK:
             raise UpstreamRefusedError(f"GET {path}: answered {response.status}")
         try:
-            document = self._codec.decode(zlib.decompress(response.body))
+            document = self._codec.decode(_decompress(response.body))
         except (zlib.error, PeerMessageError) as error:
             raise UpstreamRefusedError(f"GET {path}: {error}") from None
         if not isinstance(document, kind):
@@ -136,3 +138,12 @@
             compressed = zlib.compress(self._codec.encode(document), COMPRESSION_LEVEL)
             self._compressed[path] = (version, compressed)
         return compressed
+
+
+def _decompress(data: bytes) -> bytes:
+    """Decompress a document; raises `zlib.error` if it is too large."""
+    decompressor = zlib.decompressobj()
+    document = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("the document is incomplete or too large")
+    return document
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import ClassVar
 
 from bronzeline_daemon.forwarding.attempt import Attempt, AttemptListener
@@ -30,6 +30,7 @@
     Finish,
     ListedUpstream,
     Probe,
+    ResponseBuffer,
     ResponseHead,
     Send,
     WorkspaceKeys,
@@ -70,6 +71,9 @@
         self._machine = machine
         self._workspace = workspace
         self._attempts: dict[int, Attempt] = {}
+        self._buffers: dict[int, ResponseBuffer] = {}
+        # While the caller does not read, an upstream's events wait.
+        self.is_waiting_for_caller = False
         self._started_at_ms = context.clock.now_ms()
         self._upstream_id = ""
         self._request_hash = hash_of_request
@@ -133,8 +137,8 @@
         """Handle the head of an attempt's response."""
         raise NotImplementedError
 
-    def on_data(self, number: int, chunk: bytes) -> None:
-        """Handle a chunk of the body of an attempt's response."""
+    def on_data(self, number: int, chunk: bytes) -> Awaitable[None] | None:
+        """Handle a chunk of an attempt's response; the result is awaited first."""
         raise NotImplementedError
 
     def on_complete(self, number: int) -> None:
@@ -164,7 +168,7 @@
         """Handle the death of an upstream during an attempt."""
 
     def on_process_stall(self) -> None:
-        """Handle a pause in which this process did not run."""
+        """Handle a pause in which this process or the caller did not read."""
 
     def silent_ms(self) -> int:
         """Return the time since the caller's last event, in milliseconds."""
@@ -222,6 +226,33 @@
                 after_ms=round(self.now_ms() - self._started_at_ms),
             )
 
+    def start_buffer(self, number: int) -> None:
+        """Start to buffer the body of an attempt's response."""
+        if self._machine.is_over:
+            return
+        address = self._attempts[number].send.upstream.address
+        budget = self.context.connection_pool.response_budget
+        self._buffers[number] = ResponseBuffer(budget, address)
+
+    def buffer(self, number: int, chunk: bytes) -> None:
+        """Buffer a chunk; fail an attempt whose response is too large.
+
+        Nothing is buffered for an attempt that goes on after its caller has left.
+        """
+        buffer = self._buffers.get(number)
+        if buffer is not None and not buffer.append(chunk):
+            self.fail_attempt(number, Fault.TOO_LARGE)
+
+    def pop_buffer(self, number: int) -> bytes:
+        """Return the buffered body of an attempt's response."""
+        return self._buffers.pop(number).pop()
+
+    def fail_attempt(self, number: int, fault: Fault) -> None:
+        """Abandon an attempt whose response can't be used."""
+        self._abandon(number)
+        self.log_lost(number, fault)
+        self.perform(self._machine.lost(number, fault, self.now_ms()))
+
     def _on_lost(self, number: int, fault: Fault) -> None:
         self.log_lost(number, fault)
         self.perform(self._machine.lost(number, fault, self.now_ms()))
@@ -282,7 +313,7 @@
         if self._machine.is_over:
             return
         now_ms = self.now_ms()
-        if now_ms - due_ms > STALL_MS:
+        if now_ms - due_ms > STALL_MS or self.is_waiting_for_caller:
             self.on_process_stall()
         self.perform(self._machine.tick(now_ms))
         self.after_tick(now_ms)
@@ -292,6 +323,9 @@
     def _report_end(self, outcome: str, reason: str) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        for buffer in self._buffers.values():
+            buffer.pop()
+        self._buffers.clear()
         self.after_end()
         report = RequestReport(
             outcome,
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -34,6 +34,7 @@
     Refusal,
     Refused,
     RequestQuarantine,
+    ResponseLimits,
     RunDirectory,
     StopPlan,
     StreamRun,
@@ -73,7 +74,9 @@
         self._wire = wire
         self._clock = clock
         self._random = random
-        self.connection_pool = ConnectionPool(clock)
+        self.connection_pool = ConnectionPool(
+            clock, ResponseLimits.for_memory(settings.memory_mib)
+        )
         self.placement = Placement(
             settings.availability_zone, view.upstreams, UpstreamHealth(), random
         )
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable, Iterator
+from itertools import islice
+
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
 from bronzeline_daemon.forwarding.event_splitter import EventSplitter
 from bronzeline_daemon.forwarding.relay import Relay
@@ -20,6 +24,12 @@
 
 # Peers expire a record after 5 s, and datagrams may be lost.
 SHARE_INTERVAL_MS = 1_500.0
+# An event holds a few tokens.
+MAX_EVENT_BYTES = 64 * 1024
+MAX_EVENTS_AT_ONCE = 32
+MAX_REPEATED_EVENTS = 1_000
+# More than this many bytes are not held back for a caller that does not read.
+MAX_UNSENT_BYTES = 64 * 1024
 
 
 class StreamRelay(Relay):
@@ -37,41 +47,88 @@
         super().__init__(context, run, request, workspace, response, hash_of_request)
         self._run = run
         self._splitters: dict[int, EventSplitter] = {}
-        self._failure_bodies: dict[int, list[bytes]] = {}
+        self._failed: set[int] = set()
+        self._n_repeated_events = 0
         self._shared_copy: CopySource | None = None
         self._shared_at_ms = 0.0
 
     def on_head(self, number: int, head: ResponseHead) -> None:
         """Start the caller's response if the head shows success."""
         if not head.is_success:
-            self._failure_bodies[number] = []
+            self._failed.add(number)
+            self.start_buffer(number)
             return
         self._splitters[number] = EventSplitter()
         self.response.start(head.status, head.headers)
 
-    def on_data(self, number: int, chunk: bytes) -> None:
-        """Pass on the events that the caller lacks; a gap fails the attempt."""
-        splitter = self._splitters.get(number)
-        if splitter is None:
-            self._failure_bodies.setdefault(number, []).append(chunk)
-            return
-        for event in splitter.feed(chunk):
+    def on_data(self, number: int, chunk: bytes) -> Awaitable[None] | None:
+        """Pass on the events that the caller lacks; a gap fails the attempt.
+
+        The caller's unread events are limited: the upstream's next ones wait.
+        """
+        if number in self._failed:
+            self.buffer(number, chunk)
+            return None
+        events = self._splitters[number].feed(chunk)
+        if not self._pass_on(number, events):
+            return self._pass_on_rest(number, events)
+        if self.response.n_unsent_bytes > MAX_UNSENT_BYTES:
+            return self._wait_for_caller()
+        return None
+
+    async def _pass_on_rest(self, number: int, events: Iterator[bytes]) -> None:
+        """Pass on the events in batches, and let other requests proceed between."""
+        is_done = False
+        while not is_done:
+            await asyncio.sleep(0.0)
+            is_done = self._pass_on(number, events)
+        if self.response.n_unsent_bytes > MAX_UNSENT_BYTES:
+            await self._wait_for_caller()
+
+    async def _wait_for_caller(self) -> None:
+        self.is_waiting_for_caller = True
+        try:
+            await self.response.drain()
+        finally:
+            self.is_waiting_for_caller = False
+
+    def _pass_on(self, number: int, events: Iterator[bytes]) -> bool:
+        """Pass on a batch of events; return whether it was the last one."""
+        n_events = 0
+        for event in islice(events, MAX_EVENTS_AT_ONCE):
+            n_events += 1
             event_id = self.context.wire.event_id(event)
-            if event_id is None:
-                continue
-            if self._run.is_gap(number, event_id):
-                self._fail_attempt(number, Fault.GARBLED)
-                return
-            if self._run.accept_event(number, event_id, self.now_ms()):
-                self.record_event()
-                self.response.write(event)
+            if event_id is not None and not self._pass_on_event(
+                number, event_id, event
+            ):
+                self.fail_attempt(number, Fault.GARBLED)
+                return True
+        if n_events == MAX_EVENTS_AT_ONCE:
+            return False
+        if self._splitters[number].n_buffered_bytes > MAX_EVENT_BYTES:
+            self.fail_attempt(number, Fault.TOO_LARGE)
+        return True
+
+    def _pass_on_event(self, number: int, event_id: int, event: bytes) -> bool:
+        """Write the next event to the caller; return False if the stream is garbled.
+
+        An upstream that resumes a stream may repeat events that the caller has.
+        """
+        if self._run.is_gap(number, event_id):
+            return False
+        if self._run.accept_event(number, event_id, self.now_ms()):
+            self.record_event()
+            self.response.write(event)
+            return True
+        self._n_repeated_events += 1
+        return self._n_repeated_events <= MAX_REPEATED_EVENTS
 
     def on_complete(self, number: int) -> None:
         """Handle the end of an attempt's response."""
-        if number in self._failure_bodies:
+        if number in self._failed:
             self._end_failure(number)
         elif self._splitters[number].has_partial_event:
-            self._fail_attempt(number, Fault.BROKEN)
+            self.fail_attempt(number, Fault.BROKEN)
         else:
             self.perform(self._run.ended(number))
 
@@ -89,14 +146,12 @@
 
     def finish(self, number: int) -> None:
         """Complete the caller's response, or send a failure's response."""
-        if number not in self._failure_bodies:
+        if number not in self._failed:
             self.response.finish()
             return
         head = self.head_of(number)
         assert head is not None
-        self.response.send(
-            head.status, head.headers, b"".join(self._failure_bodies[number])
-        )
+        self.response.send(head.status, head.headers, self.pop_buffer(number))
 
     def after_tick(self, now_ms: float) -> None:
         """Report a new copy to peers, and again before they expire it."""
@@ -129,14 +184,9 @@
         """Exclude the time in which this process did not run from silence."""
         self._run.process_paused(self.now_ms())
 
-    def _fail_attempt(self, number: int, fault: Fault) -> None:
-        self._abandon(number)
-        self.log_lost(number, fault)
-        self.perform(self._run.lost(number, fault, self.now_ms()))
-
     def _end_failure(self, number: int) -> None:
         """Pass on the failure if nothing was sent yet; otherwise fail the attempt."""
         if self.response.has_started:
-            self._fail_attempt(number, Fault.FAILED)
+            self.fail_attempt(number, Fault.FAILED)
         else:
             self.perform(self._run.ended(number))
--- a/packages/daemon/bronzeline_daemon/plugins/http_client.py
+++ b/packages/daemon/bronzeline_daemon/plugins/http_client.py
@@ -23,15 +23,18 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_CLIENTS = 10_000
+# The list of 1,300 VMs takes 3 MB.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# A body that is passed on chunk by chunk has no end by itself.
+MAX_STREAMED_BYTES = 2**63
 
 
 class HttpClient:
-    """Send HTTP requests over a separate tornado client."""
+    """Send HTTP requests over tornado clients of its own."""
 
     def __init__(self) -> None:
-        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+        self._client = _make_client(MAX_BODY_BYTES)
+        self._streaming_client = _make_client(MAX_STREAMED_BYTES)
 
     async def call(
         self,
@@ -47,7 +50,8 @@
         """Send one request and return the response, whatever its status.
 
         Raises `UpstreamUnreachableError` if no byte can have been sent, and
-        `StreamBrokenError` on a failure after which this is not certain.
+        `StreamBrokenError` on a failure after which this is not certain, or if the
+        body is larger than 8 MiB and there is no `on_chunk`.
         """
         request = HTTPRequest(
             url,
@@ -62,7 +66,8 @@
             follow_redirects=False,
             decompress_response=False,
         )
-        fetch = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
+        client = self._client if on_chunk is None else self._streaming_client
+        fetch = asyncio.ensure_future(client.fetch(request, raise_error=False))
         # Tornado continues a request whose caller was cancelled, and would log the
         # end of its connection as an error.
         fetch.add_done_callback(consume_exception)
@@ -78,6 +83,15 @@
             raise StreamBrokenError(str(error)) from None
 
 
+def _make_client(max_body_bytes: int) -> AsyncHTTPClient:
+    return SimpleAsyncHTTPClient(
+        force_instance=True,
+        max_clients=MAX_CLIENTS,
+        max_buffer_size=MAX_BODY_BYTES,
+        max_body_size=max_body_bytes,
+    )
+
+
 def raise_for_status(response: HTTPResponse, server: str) -> None:
     """Raise `UpstreamRefusedError` if the status is 400 or above."""
     if response.code >= 400:
--- a/packages/daemon/bronzeline_daemon/tests/plugins/http_client_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/plugins/http_client_tests.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from bronzeline_daemon.plugins.http_client import HttpClient
+from bronzeline_daemon.plugins.http_client import MAX_BODY_BYTES, HttpClient
 from bronzeline_kernel.exceptions import StreamBrokenError, UpstreamUnreachableError
 
 
@@ -36,6 +36,9 @@
 TRUNCATED_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"
 
 
+LARGE_RESPONSE = b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_BODY_BYTES + 1)
+
+
 class HttpClientTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_cancelled_call_logs_nothing_when_its_connection_ends(self):
         server = FakeServer(b"")
@@ -64,3 +67,23 @@
     async def test_a_refused_connection_raises_upstream_unreachable(self):
         with self.assertRaises(UpstreamUnreachableError):
             await HttpClient().call("http://127.0.0.1:1/")
+
+    async def test_a_body_above_the_limit_raises_stream_broken(self):
+        server = FakeServer(LARGE_RESPONSE)
+        url = await server.start()
+        with self.assertRaises(StreamBrokenError):
+            await HttpClient().call(url)
+        await server.close()
+
+    async def test_a_streamed_body_has_no_limit(self):
+        server = FakeServer(LARGE_RESPONSE)
+        url = await server.start()
+        n_bytes = 0
+
+        def on_chunk(chunk):
+            nonlocal n_bytes
+            n_bytes += len(chunk)
+
+        await HttpClient().call(url, on_chunk=on_chunk)
+        self.assertEqual(n_bytes, MAX_BODY_BYTES + 1)
+        await server.close()
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -89,6 +89,11 @@
     RequestQuarantine,
     RequestQuarantineOptions,
 )
+from bronzeline_kernel.forwarding.response_budget import (
+    ResponseBudget,
+    ResponseBuffer,
+    ResponseLimits,
+)
 from bronzeline_kernel.forwarding.route_table import RouteTable
 from bronzeline_kernel.forwarding.run_directory import (
     RunDirectory,
@@ -165,7 +170,10 @@
     "Refused",
     "RequestQuarantine",
     "RequestQuarantineOptions",
+    "ResponseBudget",
+    "ResponseBuffer",
     "ResponseHead",
+    "ResponseLimits",
     "Route",
     "RouteTable",
     "RouterEntry",
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -66,6 +66,7 @@
     GARBLED = "garbled"
     FAILED = "failed"
     SILENT = "silent"
+    TOO_LARGE = "too_large"
 
     @property
     def is_not_run(self) -> bool:
--- a/packages/kernel/bronzeline_kernel/forwarding/settings.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/settings.py
@@ -36,6 +36,8 @@
     # in force on every router.
     config_in_force_ms: float
     leaving_in_force_ms: float
+    # Memory of the VM, of which buffered responses may take a small share.
+    memory_mib: float
     # Time from the request to stop until the process is killed.
     stop_grace_ms: float
     # Retries allowed to all routers together: a share of the requests, plus
