Learn from what engines do how long streams may be silent

Cause: the limits of streams and the costs of placement carried one engine's figures (5 tokens a ms, a prompt of 1,600 ms, silence of 520 ms): with engines three times slower a request that could not be read in time was sent, with faster ones a servable one was refused. Change: EnginePace learns for each service the time for a prompt token, gaps and resumes; stream_limits derives a stream's limits from the route's targets and that pace; Placement counts in shares of a usual prompt's time.

--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -20,6 +20,7 @@
     WorkKind,
     WorkspaceKeys,
 )
+from bronzeline_kernel.forwarding.engine_pace import EnginePace
 from bronzeline_kernel.forwarding.health import (
     Belief,
     BeliefChange,
@@ -102,6 +103,7 @@
 )
 from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
 from bronzeline_kernel.forwarding.stop_plan import StopPlan
+from bronzeline_kernel.forwarding.stream_limits import StreamLimits, stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.stream_run import StreamRun
 from bronzeline_kernel.forwarding.upstream_set import (
@@ -137,6 +139,7 @@
     "EngineClient",
     "EngineInfo",
     "EngineLost",
+    "EnginePace",
     "Fail",
     "Failure",
     "Fault",
@@ -190,6 +193,7 @@
     "ServiceShare",
     "SocketAddress",
     "StopPlan",
+    "StreamLimits",
     "StreamOptions",
     "StreamRun",
     "UpstreamAdopted",
@@ -208,4 +212,5 @@
     "admit",
     "find_parent",
     "request_hash",
+    "stream_limits",
 ]
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from bronzeline_kernel.forwarding.engine_pace import EnginePace
 from bronzeline_kernel.forwarding.health import UpstreamHealth
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
 from bronzeline_kernel.forwarding.upstream_set import (
@@ -23,30 +24,33 @@
 
 @dataclass(frozen=True)
 class PlacementOptions:
-    """Set the costs, in milliseconds of expected delay, and limits of a placement."""
+    """Set the costs and limits of a placement.
+
+    Costs of streams are shares of the time in which engines read a usual prompt,
+    and those of calls are milliseconds of expected delay.
+    """
 
-    # An engine reads a prompt of 5,000 tokens in 1,000 ms while idle, and in
-    # 1,200 to 2,300 ms between the decoding steps of running streams.
-    prompt_ms: float = 1_600.0
     # A prompt delays the running streams by about the time it takes to read, and
     # a longer stream is more likely to lose its engine.
-    stream_ms: float = 250.0
+    stream_share: float = 0.16
     # A copy takes memory that running streams may need.
-    copy_ms: float = 20.0
+    copy_share: float = 0.0125
     # Streaming from another zone is billed, but adds no significant delay, so
     # another zone is used once a second prompt would queue in this zone.
-    other_zone_stream_ms: float = 1_200.0
+    other_zone_share: float = 0.75
+    failure_share: float = 0.25
+    # Reading a prompt a second time costs more than using another zone.
+    suspect_zone_share: float = 2.5
     call_ms: float = 15.0
     # A short call to another region takes about 25 ms longer, and is billed.
     other_zone_call_ms: float = 60.0
-    failure_ms: float = 400.0
+    call_failure_ms: float = 400.0
+    suspect_zone_call_ms: float = 4_000.0
     # Bounds the sample of a choice; comparing this many upstreams takes 0.1 ms.
     max_own_zone: int = 32
     max_other_zones: int = 32
     # Peers report each change in prompts; reading a prompt takes about this long.
     max_peer_load_age_ms: float = 2_500.0
-    # Reading a prompt a second time costs more than using another zone.
-    suspect_zone_ms: float = 4_000.0
 
 
 @dataclass
@@ -112,6 +116,9 @@
     random: Random
     options: PlacementOptions = field(default_factory=PlacementOptions)
     prompts: PromptIndex = field(default_factory=PromptIndex)
+    _paces: defaultdict[str, EnginePace] = field(
+        default_factory=lambda: defaultdict(EnginePace)
+    )
     _loads: dict[str, Load] = field(default_factory=dict)
     _reported_loads: dict[str, ReportedLoad] = field(default_factory=dict)
 
@@ -119,6 +126,10 @@
         """Return this router's load on an upstream, for modification in place."""
         return self._loads.setdefault(upstream_id, Load())
 
+    def pace(self, service: str) -> EnginePace:
+        """Return the learned pace of a service's engines."""
+        return self._paces[service]
+
     def set_peer_load(
         self, router_id: str, load: LoadByUpstream, now_ms: float
     ) -> None:
@@ -158,6 +169,7 @@
     ) -> Choice | None:
         """Choose the upstream for a stream, preferring one that cached its prompt."""
         peers = self._peer_loads(now_ms)
+        prompt_ms = self.pace(service).usual_prompt_ms
 
         def cost(upstream: ListedUpstream) -> float:
             cached_share = 0.0
@@ -165,8 +177,8 @@
                 cached_share = self.prompts.cached_share(
                     upstream.incarnation, prompt, now_ms
                 )
-            saved_ms = cached_share * self.options.prompt_ms
-            return self._stream_cost(upstream, peers, now_ms) - saved_ms
+            cost_share = self._stream_cost(upstream, peers, now_ms) - cached_share
+            return cost_share * prompt_ms
 
         return self._cheapest(service, now_ms, exclude, cost, peers.age_ms)
 
@@ -297,16 +309,17 @@
     def _stream_cost(
         self, upstream: ListedUpstream, peers: PeerLoads, now_ms: float
     ) -> float:
+        """Return the cost of a stream as a share of a prompt's reading time."""
         load = self._total_load(upstream.upstream_id, peers)
         options = self.options
-        slowness = self.health.slowness(upstream.incarnation, now_ms)
+        is_elsewhere = upstream.availability_zone != self.own_zone
         return (
-            slowness * options.prompt_ms
-            + load.n_prompts * options.prompt_ms
-            + load.n_streams * options.stream_ms
-            + load.n_copies * options.copy_ms
-            + self._distance_cost(upstream, options.other_zone_stream_ms)
-            + self._failure_cost(upstream, now_ms)
+            self.health.slowness(upstream.incarnation, now_ms)
+            + load.n_prompts
+            + load.n_streams * options.stream_share
+            + load.n_copies * options.copy_share
+            + (options.other_zone_share if is_elsewhere else 0.0)
+            + self._stream_failure_cost(upstream, now_ms)
         )
 
     def _copy_cost(
@@ -315,16 +328,34 @@
         load = self._total_load(upstream.upstream_id, peers)
         # Prompts, streams and copies take about the same amount of memory.
         n_held = load.n_prompts + load.n_streams + load.n_copies
-        return n_held * self.options.stream_ms + self._failure_cost(upstream, now_ms)
+        held_cost = n_held * self.options.stream_share
+        return held_cost + self._stream_failure_cost(upstream, now_ms)
+
+    def _stream_failure_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
+        options = self.options
+        score = self.health.failure_score(upstream.incarnation, now_ms)
+        is_suspect = self._is_zone_suspect(upstream, now_ms)
+        return options.failure_share * score + (
+            options.suspect_zone_share if is_suspect else 0.0
+        )
 
     def _call_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
+        options = self.options
         load = self.load(upstream.upstream_id)
+        score = self.health.failure_score(upstream.incarnation, now_ms)
+        is_elsewhere = upstream.availability_zone != self.own_zone
+        is_suspect = self._is_zone_suspect(upstream, now_ms)
         return (
-            load.n_calls * self.options.call_ms
-            + self._distance_cost(upstream, self.options.other_zone_call_ms)
-            + self._failure_cost(upstream, now_ms)
+            load.n_calls * options.call_ms
+            + score * options.call_failure_ms
+            + (options.other_zone_call_ms if is_elsewhere else 0.0)
+            + (options.suspect_zone_call_ms if is_suspect else 0.0)
         )
 
+    def _is_zone_suspect(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        zone = (upstream.service, upstream.availability_zone)
+        return self.health.is_zone_suspect(zone, upstream.incarnation, now_ms)
+
     def _peer_loads(self, now_ms: float) -> PeerLoads:
         """Sum the recent load reports of peers by upstream."""
         loads: defaultdict[str, Load] = defaultdict(Load)
@@ -352,14 +383,3 @@
             own.n_streams + others.n_streams,
             own.n_copies + others.n_copies,
         )
-
-    def _distance_cost(self, upstream: ListedUpstream, cost_ms: float) -> float:
-        return 0.0 if upstream.availability_zone == self.own_zone else cost_ms
-
-    def _failure_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
-        score = self.health.failure_score(upstream.incarnation, now_ms)
-        cost_ms = score * self.options.failure_ms
-        zone = (upstream.service, upstream.availability_zone)
-        if self.health.is_zone_suspect(zone, upstream.incarnation, now_ms):
-            cost_ms += self.options.suspect_zone_ms
-        return cost_ms
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -25,6 +25,7 @@
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
 from bronzeline_kernel.forwarding.prompt_index import Prompt
+from bronzeline_kernel.forwarding.stream_limits import StreamLimits, stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
 
@@ -40,6 +41,7 @@
     sent_at_ms: float
     progress_at_ms: float
     probed_at_ms: float
+    limits: StreamLimits
     is_from_copy: bool = False
     copy_to: ListedUpstream | None = None
     has_events: bool = False
@@ -108,10 +110,13 @@
         attempt = self.attempt
         if attempt is None or attempt.number != number or self.is_over:
             return False
+        gap_ms = now_ms - attempt.progress_at_ms
         attempt.progress_at_ms = now_ms
-        if not attempt.has_events:
+        if attempt.has_events:
+            self.placement.pace(self.service).record_gap(gap_ms)
+        else:
             attempt.has_events = True
-            self._record_prompt_time(attempt, now_ms)
+            self._record_first_event(attempt, now_ms)
             self.placement.load(attempt.upstream.upstream_id).n_prompts -= 1
         self.placement.health.record_success(attempt.upstream.incarnation, now_ms)
         if event_id != self.last_event + 1:
@@ -160,7 +165,7 @@
             self.placement.health.record_connection(upstream, now_ms)
         if is_alive or attempt is None or attempt.upstream.incarnation != upstream:
             return []
-        if now_ms - attempt.progress_at_ms < self.options.probe_after_ms:
+        if now_ms - attempt.progress_at_ms < attempt.limits.probe_after_ms:
             return []
         return self._abandon_silent(attempt, now_ms)
 
@@ -183,7 +188,7 @@
         silent_ms = now_ms - attempt.progress_at_ms
         if silent_ms >= self._silence_limit_ms(attempt, now_ms):
             return self._abandon_silent(attempt, now_ms)
-        if silent_ms < self.options.probe_after_ms:
+        if silent_ms < attempt.limits.probe_after_ms:
             return self._maintain_copy(attempt, now_ms)
         if now_ms - attempt.probed_at_ms < self._probe_interval_ms(attempt):
             return []
@@ -217,16 +222,29 @@
         self.is_over = True
         return [Abandon(number), *drops] if number else []
 
-    def _record_prompt_time(self, attempt: Attempt, now_ms: float) -> None:
-        """Record in the upstream's health how long the prompt took to read."""
-        options = self.options
-        prompt_ms = self.request.n_prompt_tokens / options.prompt_tokens_per_ms
-        if attempt.is_from_copy or not prompt_ms:
-            return
-        usual_ms = options.usual_prompt_factor * prompt_ms
+    def _record_first_event(self, attempt: Attempt, now_ms: float) -> None:
+        """Record how long the prompt or the resume took, also as evidence of health."""
+        pace = self.placement.pace(self.service)
         took_ms = now_ms - attempt.sent_at_ms
+        if attempt.is_from_copy:
+            pace.record_resume(took_ms)
+            return
+        n_unread_tokens = self._n_unread_tokens(attempt.upstream, attempt.sent_at_ms)
+        if n_unread_tokens < self.request.n_prompt_tokens or not n_unread_tokens:
+            # A cached prompt says nothing about the time to read one.
+            return
+        usual_ms = self.options.slow_prompt_ratio * pace.prompt_ms(n_unread_tokens)
         incarnation = attempt.upstream.incarnation
         self.placement.health.record_prompt_time(incarnation, took_ms, usual_ms, now_ms)
+        pace.record_prompt(n_unread_tokens, took_ms)
+
+    def _n_unread_tokens(self, upstream: ListedUpstream, now_ms: float) -> int:
+        """Return how many tokens of the prompt an upstream has not cached."""
+        request = self.request
+        prompt = Prompt(request.unique_part_id, request.n_prompt_tokens)
+        index = self.placement.prompts
+        cached_share = index.cached_share(upstream.incarnation, prompt, now_ms)
+        return round((1.0 - cached_share) * prompt.n_tokens)
 
     def _is_current(self, number: int) -> bool:
         if self.is_over or self.attempt is None:
@@ -234,19 +252,19 @@
         return self.attempt.number == number
 
     def _silence_limit_ms(self, attempt: Attempt, now_ms: float) -> float:
-        options = self.options
+        limits = attempt.limits
         if attempt.has_events:
             if self._copy_of(attempt, now_ms) is not None:
-                return options.silence_limit_ms
-            return options.silence_limit_without_copy_ms
+                return limits.silence_limit_ms
+            return limits.silence_limit_without_copy_ms
         if attempt.is_from_copy:
-            return options.copy_first_event_ms
+            return limits.copy_first_event_ms
         last_alive_at_ms = self.placement.health.last_alive_at_ms(
             attempt.upstream.incarnation
         )
-        if now_ms - last_alive_at_ms < options.recently_alive_ms:
-            return options.first_event_busy_ms
-        return options.first_event_ms
+        if now_ms - last_alive_at_ms < self.options.recently_alive_ms:
+            return limits.first_event_busy_ms
+        return limits.first_event_ms
 
     def _probe_interval_ms(self, attempt: Attempt) -> float:
         options = self.options
@@ -390,21 +408,15 @@
             choice = choose(self.service, now_ms, (), prompt)
         if choice is None:
             return self._fail_not_served("no upstream")
-        if not self.n_sent and self._would_miss_deadline(
-            choice.upstream, prompt, now_ms
-        ):
+        if not self.n_sent and self._would_miss_deadline(choice.upstream, now_ms):
             return self._fail_not_served("too little time for the prompt")
         return [self._send(choice.upstream, now_ms, choice=choice)]
 
-    def _would_miss_deadline(
-        self, upstream: ListedUpstream, prompt: Prompt, now_ms: float
-    ) -> bool:
+    def _would_miss_deadline(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether the deadline passes before the prompt can be read."""
-        index = self.placement.prompts
-        cached_share = index.cached_share(upstream.incarnation, prompt, now_ms)
-        unread_tokens = (1.0 - cached_share) * prompt.n_tokens
-        read_ms = unread_tokens / self.options.prompt_tokens_per_ms
-        return now_ms + read_ms >= self.deadline_ms
+        n_unread_tokens = self._n_unread_tokens(upstream, now_ms)
+        pace = self.placement.pace(self.service)
+        return now_ms + pace.fastest_prompt_ms(n_unread_tokens) >= self.deadline_ms
 
     def _send(
         self,
@@ -417,8 +429,20 @@
         if self.route.is_resumable:
             copy_to = self.placement.choose_for_copy(upstream, now_ms)
         self.n_sent += 1
+        limits = stream_limits(
+            self.route,
+            self.request.n_prompt_tokens,
+            self.placement.pace(self.service),
+        )
         self.attempt = Attempt(
-            self.n_sent, upstream, now_ms, now_ms, now_ms, copy is not None, copy_to
+            self.n_sent,
+            upstream,
+            now_ms,
+            now_ms,
+            now_ms,
+            limits,
+            copy is not None,
+            copy_to,
         )
         load = self.placement.load(upstream.upstream_id)
         load.n_prompts += 1
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
@@ -0,0 +1,211 @@
+"""Play streams of one router against simulated engines, in simulated time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from bronzeline_kernel.admission import RetryBudget
+from bronzeline_kernel.forwarding import (
+    Abandon,
+    Fail,
+    Finish,
+    Probe,
+    Send,
+    StreamRun,
+)
+from bronzeline_kernel.tests.forwarding.samples import (
+    ENGINES,
+    fleet,
+    placement,
+    request,
+    route,
+)
+
+STEP_MS = 10.0
+PROBE_MS = 10.0
+
+
+@dataclass(frozen=True)
+class EngineSpeed:
+    """Set how fast engines work; the first values are those of the samples."""
+
+    prompt_tokens_per_ms: float = 5.0
+    event_gap_ms: float = 45.0
+    n_events: int = 60
+
+    def times(self, factor):
+        return EngineSpeed(
+            self.prompt_tokens_per_ms * factor, self.event_gap_ms / factor
+        )
+
+
+@dataclass
+class EngineRun:
+    """Hold one attempt on an engine."""
+
+    caller: Caller
+    number: int
+    n_tokens_left: float
+    next_event: int = 1
+    event_due_ms: float = 0.0
+
+
+@dataclass
+class Engine:
+    """Read prompts one after the other, and send events of those that were read."""
+
+    speed: EngineSpeed
+    runs: list[EngineRun] = field(default_factory=list)
+    n_tokens_read: float = 0.0
+
+    def step(self, now_ms):
+        self._read_prompt(now_ms)
+        for run in list(self.runs):
+            if run.n_tokens_left <= 0.0 and now_ms >= run.event_due_ms:
+                run.event_due_ms = now_ms + self.speed.event_gap_ms
+                run.caller.on_event(run, now_ms)
+
+    def _read_prompt(self, now_ms):
+        waiting = next((run for run in self.runs if run.n_tokens_left > 0.0), None)
+        if waiting is None:
+            return
+        n_tokens = min(waiting.n_tokens_left, STEP_MS * self.speed.prompt_tokens_per_ms)
+        waiting.n_tokens_left -= n_tokens
+        waiting.event_due_ms = now_ms + self.speed.event_gap_ms
+        self.n_tokens_read += n_tokens
+
+
+@dataclass
+class Caller:
+    """Send one stream and record what it gets."""
+
+    player: LoadPlayer
+    sent_at_ms: float
+    deadline_ms: float
+    n_prompt_tokens: int
+    run: StreamRun | None = None
+    outcome: str = ""
+    ended_at_ms: float = 0.0
+    first_event_ms: float = 0.0
+    longest_gap_ms: float = 0.0
+    n_sent: int = 0
+    probe_due: list[tuple[float, tuple[str, int]]] = field(default_factory=list)
+    _event_at_ms: float = 0.0
+
+    def start(self, now_ms):
+        self.run = StreamRun(
+            request(
+                request_id=f"stream-{now_ms}", n_prompt_tokens=self.n_prompt_tokens
+            ),
+            route(),
+            ENGINES,
+            self.player.placement,
+            self.player.budget,
+            self.deadline_ms,
+        )
+        self.perform(self.run.start(now_ms), now_ms)
+
+    def step(self, now_ms):
+        due = [item for item in self.probe_due if item[0] <= now_ms]
+        self.probe_due = [item for item in self.probe_due if item[0] > now_ms]
+        for _, upstream in due:
+            self.perform(self.run.probed(upstream, True, now_ms), now_ms)
+        self.perform(self.run.tick(now_ms), now_ms)
+
+    def on_event(self, engine_run, now_ms):
+        event_id = engine_run.next_event
+        engine_run.next_event += 1
+        if self.run.accept_event(engine_run.number, event_id, now_ms):
+            self._record_event(now_ms)
+        if event_id >= self.player.speed.n_events:
+            self.player.remove(engine_run)
+            self.perform(self.run.ended(engine_run.number), now_ms)
+
+    def perform(self, actions, now_ms):
+        for action in actions:
+            match action:
+                case Send(number, upstream):
+                    self.n_sent += 1
+                    run = EngineRun(self, number, self.n_prompt_tokens)
+                    run.next_event = action.after_event + 1
+                    self.player.engines[upstream.upstream_id].runs.append(run)
+                case Abandon(number):
+                    self.player.abandon(self, number)
+                case Probe(upstream):
+                    self.probe_due.append((now_ms + PROBE_MS, upstream.incarnation))
+                case Finish():
+                    self._end("served", now_ms)
+                case Fail(failure):
+                    self._end(failure.value, now_ms)
+
+    def _record_event(self, now_ms):
+        if not self.first_event_ms:
+            self.first_event_ms = now_ms - self.sent_at_ms
+        else:
+            gap_ms = now_ms - self._event_at_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._event_at_ms = now_ms
+
+    def _end(self, outcome, now_ms):
+        self.outcome, self.ended_at_ms = outcome, now_ms
+
+
+class LoadPlayer:
+    """Let callers send streams at a steady rate, and advance the time in steps."""
+
+    def __init__(self, speed, per_zone=2, seed=1):
+        self.speed = speed
+        entries = fleet(per_zone)
+        self.placement = placement(entries)
+        self.engines = {item.upstream_id: Engine(speed) for item in entries}
+        self.budget = RetryBudget(0.5, 50.0)
+        self.callers = []
+        self.now_ms = 0.0
+        self._random = Random(seed)
+
+    def play(self, n_callers, interval_ms, n_prompt_tokens=5_000):
+        """Send streams one after the other; return them once all have ended."""
+        callers = []
+        for _ in range(n_callers):
+            callers.append(self.send(n_prompt_tokens=n_prompt_tokens))
+            self.wait(interval_ms * self._random.uniform(0.5, 1.5))
+        while not all(caller.outcome for caller in callers):
+            self.wait(STEP_MS)
+        return callers
+
+    def send(self, budget_ms=25_000.0, n_prompt_tokens=5_000):
+        """Send a stream now."""
+        deadline_ms = self.now_ms + budget_ms
+        caller = Caller(self, self.now_ms, deadline_ms, n_prompt_tokens)
+        self.callers.append(caller)
+        caller.start(self.now_ms)
+        return caller
+
+    def wait(self, duration_ms):
+        """Advance the time."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            for engine in self.engines.values():
+                engine.step(self.now_ms)
+            for caller in self.callers:
+                if not caller.outcome:
+                    caller.step(self.now_ms)
+
+    def remove(self, engine_run):
+        for engine in self.engines.values():
+            if engine_run in engine.runs:
+                engine.runs.remove(engine_run)
+
+    def abandon(self, caller, number):
+        for engine in self.engines.values():
+            engine.runs = [
+                run
+                for run in engine.runs
+                if run.caller is not caller or run.number != number
+            ]
+
+    def outcomes(self):
+        return Counter(caller.outcome for caller in self.callers)
