Keep a stream's silence limit a share of the gap that its route allows

Cause: the limit was that gap less the longest usual resume, which a loaded fleet lengthens, so that it could fall while engines were slow; and twice the earlier share of prompts counted as slow. Change: both are shares again; they only widen where engines are slower than the route wants.

--- a/packages/kernel/bronzeline_kernel/forwarding/stream_limits.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_limits.py
@@ -12,6 +12,9 @@
 # Shares of the longest gap that the route allows.
 PROBE_SHARE = 0.31
 MAX_PROBE_SHARE = 0.6
+# Leaves time to resume from a copy.
+SILENCE_SHARE = 0.74
+RESUME_SHARE = 0.57
 WITHOUT_COPY_SHARE = 3.5
 # Shares of the time in which the first event is wanted.
 FIRST_EVENT_SHARE = 2 / 3
@@ -23,7 +26,7 @@
 # How many times as long as the longest usual gap an upstream must be silent before
 # the stream leaves it.
 SILENT_RATIO = 1.5
-# A resume that sends no event within this many times the usual time has failed.
+# How many times as long as usual a resume may take.
 RESUME_RATIO = 2.2
 
 
@@ -54,14 +57,14 @@
     resume_ms = pace.longest_resume_ms()
     prompt_ms = pace.prompt_ms(n_prompt_tokens)
     probe_after_ms = max(PROBE_SHARE * gap_ms, usual_gap_ms)
-    silence_limit_ms = max(gap_ms - resume_ms, SILENT_RATIO * usual_gap_ms)
+    silence_limit_ms = max(SILENCE_SHARE * gap_ms, SILENT_RATIO * usual_gap_ms)
     return StreamLimits(
         probe_after_ms=min(probe_after_ms, MAX_PROBE_SHARE * silence_limit_ms),
         silence_limit_ms=silence_limit_ms,
         silence_limit_without_copy_ms=max(
             WITHOUT_COPY_SHARE * gap_ms, 2.0 * silence_limit_ms
         ),
-        copy_first_event_ms=RESUME_RATIO * resume_ms,
+        copy_first_event_ms=max(RESUME_SHARE * gap_ms, RESUME_RATIO * resume_ms),
         first_event_ms=max(FIRST_EVENT_SHARE * first_ms, SLOW_PROMPT_RATIO * prompt_ms),
         first_event_busy_ms=max(
             FIRST_EVENT_BUSY_SHARE * first_ms, SLOW_PROMPT_BUSY_RATIO * prompt_ms
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
@@ -21,7 +21,7 @@
     # An upstream that responded or accepted a connection within this time is alive.
     recently_alive_ms: float = 1_500.0
     # Prompts that take this many times as long as usual make an upstream slow.
-    slow_prompt_ratio: float = 1.15
+    slow_prompt_ratio: float = 2.0
     # The source frees a copy made on request after 4 s; refresh it well before.
     copy_refresh_ms: float = 2_500.0
     copy_retry_ms: float = 500.0
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
@@ -10,6 +10,7 @@
 from bronzeline_kernel.forwarding import (
     Abandon,
     Fail,
+    FindEarlierRun,
     Finish,
     Probe,
     Send,
@@ -135,6 +136,8 @@
                     self.player.abandon(self, number)
                 case Probe(upstream):
                     self.probe_due.append((now_ms + PROBE_MS, upstream.incarnation))
+                case FindEarlierRun():
+                    self.perform(self.run.earlier_run_search_ended(now_ms), now_ms)
                 case Finish():
                     self._end("served", now_ms)
                 case Fail(failure):
