Report a lost zone once for all routers, and mend four faults noted while reading

Cause: each router that saw a zone's loss told all others, so messages grew with the square. Left of that list: a second state of one router in replication, and a grant in the same turn as its time-out.

--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -51,8 +51,8 @@
 MAX_REPORT_PEERS = 16
 # Holders of a run's record answer within 30 ms unless they have failed.
 FIND_RUN_TIMEOUT_S = 0.06
-# Minimum interval between reports of a lost zone, because traffic to other
-# zones is billed.
+# Minimum interval between reports of a lost zone by any router, as each goes to
+# all routers.
 ZONE_LOST_INTERVAL_MS = 400.0
 
 MESSAGE_TYPES = (
@@ -209,6 +209,8 @@
             case RunEnded(request_hash):
                 self._runs.remove(request_hash)
             case ZoneLost(service, zone):
+                # Its peers know of it, so that this router need not report it too.
+                self._zone_reported_at_ms[service, zone] = now_ms
                 self._placement.health.record_peer_zone_loss((service, zone), now_ms)
             case EngineLost():
                 self._quarantine.engine_lost(message, now_ms, is_own=False)
--- a/packages/daemon/bronzeline_daemon/generations/stream_timing.py
+++ b/packages/daemon/bronzeline_daemon/generations/stream_timing.py
@@ -80,6 +80,8 @@
         if not self._has_token:
             self._has_token = True
             self._reported_at_ms = now_ms
+            # Tokens of an earlier attempt came from another upstream.
+            self._n_unreported = 0
             self._on_first_token(grant, n_tokens, now_ms)
         elif gap is None:
             gap_ms = now_ms - self._last_token_at_ms
--- a/packages/daemon/bronzeline_daemon/peers/network.py
+++ b/packages/daemon/bronzeline_daemon/peers/network.py
@@ -111,12 +111,27 @@
             stream.close()
 
     async def connect(self, router_id: str) -> tuple[IOStream, FrameAuthenticator]:
-        """Open an authenticated connection; raises `OSError` or `PeerMessageError`."""
+        """Open an authenticated connection; raises `OSError` or `StreamClosedError`."""
         router = self._members.find(router_id)
         if router is None:
             raise ConnectionError(f"router {router_id} is not known")
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             stream = await TCPClient().connect(router.host, router.peer_port)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return stream, await self._authenticate(stream, router_id)
+        except PeerMessageError as error:
+            stream.close()
+            log_event("peer_refused", address=router_id, error=error)
+            raise ConnectionError(f"{router_id}: {error}") from None
+        except BaseException:
+            stream.close()
+            raise
+
+    async def _authenticate(
+        self, stream: IOStream, router_id: str
+    ) -> FrameAuthenticator:
+        """Exchange hello and welcome; raises `ConnectionError` without a proof."""
         hello = Hello(self.own_id, self.incarnation, make_nonce())
         await stream.write(
             msgpack.packb(msgspec.to_builtins(hello, builtin_types=(bytes,)))
@@ -127,11 +142,10 @@
             session_key(self._shared_key, hello, welcome.nonce)
         )
         if welcome.proof != authenticator.proof() or welcome.router_id != router_id:
-            stream.close()
             raise ConnectionError(
                 f"{router_id} did not prove that it has the shared key"
             )
-        return stream, authenticator
+        return authenticator
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Complete the handshake with a peer and dispatch its messages."""
--- a/packages/daemon/bronzeline_daemon/tests/peers/network_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/peers/network_tests.py
@@ -70,6 +70,21 @@
         self.assertEqual(pair.received, [])
         pair.close()
 
+    async def test_a_malformed_or_missing_welcome_ends_the_connection(self):
+        for response in (b"\x93\x01\x02\x03", b""):
+            pair = PeerPair()
+            pair.receiver.stop()
+
+            async def respond(reader, writer, response=response):
+                writer.write(response)
+
+            port = pair.sender._members.find("b").peer_port
+            server = await asyncio.start_server(respond, "127.0.0.1", port)
+            pair.sender.send("b", SampleMessage(1, b""))
+            await pair.wait_for(lambda pair=pair: pair.sender.n_dropped_messages == 1)
+            server.close()
+            pair.close()
+
     async def test_a_forged_frame_is_refused_and_counted(self):
         pair = PeerPair()
         pair.sender.send("b", SampleMessage(1, b""))
--- a/packages/kernel/bronzeline_kernel/generation/directory.py
+++ b/packages/kernel/bronzeline_kernel/generation/directory.py
@@ -52,6 +52,8 @@
 
     def place(self, placement: GenerationPlaced, now_ms: float) -> None:
         """Record the placement of the latest generation of a request key."""
+        # A key that is placed again goes to the end, as `expire` relies on the order.
+        self._placements.pop(placement.request_key, None)
         self._placements[placement.request_key] = (placement, now_ms)
 
     def find(self, request_key: str) -> GenerationPlaced | None:
--- a/packages/kernel/bronzeline_kernel/routing/health.py
+++ b/packages/kernel/bronzeline_kernel/routing/health.py
@@ -96,8 +96,10 @@
         self, router_id: str, ratios: dict[str, float], now_ms: float
     ) -> None:
         """Replace the ratios reported by a peer."""
-        for ratios_by_peer in self._peer_ratios.values():
+        for upstream_id, ratios_by_peer in list(self._peer_ratios.items()):
             ratios_by_peer.pop(router_id, None)
+            if not ratios_by_peer:
+                del self._peer_ratios[upstream_id]
         for upstream_id, ratio in ratios.items():
             peer_ratio = PeerRatio(ratio, now_ms)
             self._peer_ratios.setdefault(upstream_id, {})[router_id] = peer_ratio
