Resume from a copy whose keeper's zone is only suspected

Cause: one failed upstream makes its zone suspect for 1.5 s at every router, and a copy in a suspect zone was not used. Change: a resume tries such a copy; a dead keeper is noticed at once or within 160 ms, reading the prompt again takes over a second. A copy made on order is kept until a newer one exists. Callers that come back resume from such a copy too.

--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -226,15 +226,22 @@
         return None if choice is None else choice.upstream
 
     def is_keeper_available(self, keeper: ListedUpstream, now_ms: float) -> bool:
-        """Return whether the keeper of a copy has not failed or restarted."""
+        """Return whether the keeper of a copy, and its zone, seem to be alive."""
+        zone = (keeper.service, keeper.availability_zone)
+        if self.health.is_zone_suspect(zone, keeper.incarnation, now_ms):
+            return False
+        return self.may_keeper_hold(keeper, now_ms)
+
+    def may_keeper_hold(self, keeper: ListedUpstream, now_ms: float) -> bool:
+        """Return whether the keeper of a copy has not failed or restarted.
+
+        Its zone may be suspect because of another upstream.
+        """
         listed = self.upstreams.get(keeper.upstream_id)
         if listed is None or listed.incarnation != keeper.incarnation:
             return False
         if self.upstreams.is_superseded(listed):
             return False
-        zone = (keeper.service, keeper.availability_zone)
-        if self.health.is_zone_suspect(zone, keeper.incarnation, now_ms):
-            return False
         return not self.health.is_avoided(keeper.incarnation, now_ms)
 
     def _cheapest(
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -282,7 +282,6 @@
             return []
         keeper = attempt.copy.keeper if attempt.copy else None
         if keeper is None or not self._is_keeper_available(keeper, now_ms):
-            attempt.copy = None
             keeper = self.placement.choose_for_copy(attempt.upstream, now_ms)
         if keeper is None:
             return []
@@ -334,7 +333,7 @@
         if obstacle:
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
-        copy = self._copy_of(attempt, now_ms)
+        copy = self._copy_to_try(attempt, now_ms)
         if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
         if self._may_retry_same_upstream(attempt, fault):
@@ -377,7 +376,7 @@
 
     def _resume_earlier_run(self, now_ms: float) -> list[Action]:
         copy = self.find_copy(now_ms)
-        if copy is None or not self._is_keeper_available(copy.keeper, now_ms):
+        if copy is None or not self.placement.may_keeper_hold(copy.keeper, now_ms):
             return []
         return [self._send(copy.keeper, now_ms, copy)]
 
@@ -454,17 +453,35 @@
             self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to, choice
         )
 
-    def _copy_of(self, attempt: Attempt, now_ms: float) -> CopySource | None:
-        """Return the copy to resume from; there is none before the first event."""
+    def _copies(self, attempt: Attempt) -> list[CopySource]:
+        """Return the newest copy and the first one; none before the first event."""
         if not attempt.has_events:
-            return None
-        copy = attempt.copy
-        if copy is None and attempt.copy_to is not None:
-            keeper = attempt.copy_to
-            copy = CopySource(keeper, keeper, self.request.request_id)
-        if copy is None or not self._is_keeper_available(copy.keeper, now_ms):
-            return None
-        return copy
+            return []
+        copies = [attempt.copy] if attempt.copy is not None else []
+        keeper = attempt.copy_to
+        if keeper is not None:
+            copies.append(CopySource(keeper, keeper, self.request.request_id))
+        return copies
+
+    def _copy_of(self, attempt: Attempt, now_ms: float) -> CopySource | None:
+        """Return a copy whose keeper seems to be alive."""
+        for copy in self._copies(attempt):
+            if self._is_keeper_available(copy.keeper, now_ms):
+                return copy
+        return None
+
+    def _copy_to_try(self, attempt: Attempt, now_ms: float) -> CopySource | None:
+        """Return the copy to resume from, also one whose keeper's zone is suspect.
+
+        A dead keeper is noticed soon, and reading the prompt again takes longer.
+        """
+        copy = self._copy_of(attempt, now_ms)
+        if copy is not None:
+            return copy
+        for copy in self._copies(attempt):
+            if self.placement.may_keeper_hold(copy.keeper, now_ms):
+                return copy
+        return None
 
     def _record_fault(self, attempt: Attempt, fault: Fault, now_ms: float) -> None:
         self._tried.add(attempt.upstream.incarnation)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -370,6 +370,50 @@
         self.assertIsNone(driver.fail_attempt(1, Fault.FULL)[0].copy_from)
 
 
+class SuspectKeeperTests(unittest.TestCase):
+    """The keeper's zone is reported lost, because of another of its upstreams."""
+
+    def setUp(self):
+        self.driver = Driver()
+        self.sent = self.driver.start()
+        self.driver.events(1, 5)
+        keeper = self.sent.copy_to
+        zone = (ENGINES, keeper.availability_zone)
+        self.driver.now_ms += 100.0
+        self.driver.placement.health.record_peer_zone_loss(zone, self.driver.now_ms)
+
+    def test_the_stream_resumes_from_the_copy(self):
+        resumed = self.driver.fail_attempt(1)[0]
+        self.assertEqual(resumed.upstream, self.sent.copy_to)
+        self.assertIsNotNone(resumed.copy_from)
+
+    def test_the_prompt_is_read_again_only_once_the_keeper_is_lost_too(self):
+        self.driver.fail_attempt(1)
+        retried = self.driver.fail_attempt(2, Fault.UNREACHABLE)[0]
+        self.assertIsNone(retried.copy_from)
+
+    def test_a_copy_is_made_elsewhere_and_the_old_one_kept_until_then(self):
+        actions = self.driver.run.tick(self.driver.now_ms)
+        self.assertEqual([type(item) for item in actions], [CopyRun])
+        self.driver.run.copied(1, None, self.driver.now_ms)
+        resumed = self.driver.fail_attempt(1)[0]
+        self.assertEqual(resumed.upstream, self.sent.copy_to)
+
+    def test_an_earlier_run_is_resumed_from_its_copy(self):
+        copy = CopySource(self.sent.copy_to, self.sent.copy_to, "id-1")
+        run = self.driver.run
+        other = StreamRun(
+            run.request,
+            run.route,
+            ENGINES,
+            self.driver.placement,
+            run.budget,
+            25_000.0,
+            find_copy=lambda now_ms: copy,
+        )
+        self.assertEqual(other.start(self.driver.now_ms)[0].copy_from, copy)
+
+
 class EndTests(unittest.TestCase):
     def test_disconnect_abandons_the_attempt(self):
         driver = Driver()
