Play five loads against today's placement and against turns

Change: load_player knows slots and lost engines; load_table prints shares in time, late, refused and failed for each load, with today's placement and with engines taken by turns. Not in it yet: retries, a hot workspace, several routers, loads above capacity.

--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
@@ -10,6 +10,7 @@
 from bronzeline_kernel.forwarding import (
     Abandon,
     Fail,
+    Fault,
     FindEarlierRun,
     Finish,
     Probe,
@@ -58,10 +59,14 @@
     """Read prompts one after the other, and send events of those that were read."""
 
     speed: EngineSpeed
+    n_slots: int = 64
     runs: list[EngineRun] = field(default_factory=list)
     n_tokens_read: float = 0.0
+    is_lost: bool = False
 
     def step(self, now_ms):
+        if self.is_lost:
+            return
         self._read_prompt(now_ms)
         for run in list(self.runs):
             if run.n_tokens_left <= 0.0 and now_ms >= run.event_due_ms:
@@ -93,6 +98,7 @@
     longest_gap_ms: float = 0.0
     n_sent: int = 0
     probe_due: list[tuple[float, tuple[str, int]]] = field(default_factory=list)
+    faults: list[tuple[int, Fault]] = field(default_factory=list)
     _event_at_ms: float = 0.0
 
     def start(self, now_ms):
@@ -109,10 +115,13 @@
         self.perform(self.run.start(now_ms), now_ms)
 
     def step(self, now_ms):
+        for number, fault in self._take_faults():
+            self.perform(self.run.lost(number, fault, now_ms), now_ms)
         due = [item for item in self.probe_due if item[0] <= now_ms]
         self.probe_due = [item for item in self.probe_due if item[0] > now_ms]
         for _, upstream in due:
-            self.perform(self.run.probed(upstream, True, now_ms), now_ms)
+            is_alive = not self.player.engines[upstream[0]].is_lost
+            self.perform(self.run.probed(upstream, is_alive, now_ms), now_ms)
         self.perform(self.run.tick(now_ms), now_ms)
 
     def on_event(self, engine_run, now_ms):
@@ -131,7 +140,7 @@
                     self.n_sent += 1
                     run = EngineRun(self, number, self.n_prompt_tokens)
                     run.next_event = action.after_event + 1
-                    self.player.engines[upstream.upstream_id].runs.append(run)
+                    self.player.open(run, upstream.upstream_id)
                 case Abandon(number):
                     self.player.abandon(self, number)
                 case Probe(upstream):
@@ -143,6 +152,10 @@
                 case Fail(failure):
                     self._end(failure.value, now_ms)
 
+    def _take_faults(self):
+        faults, self.faults = self.faults, []
+        return faults
+
     def _record_event(self, now_ms):
         if not self.first_event_ms:
             self.first_event_ms = now_ms - self.sent_at_ms
@@ -158,11 +171,11 @@
 class LoadPlayer:
     """Let callers send streams at a steady rate, and advance the time in steps."""
 
-    def __init__(self, speed, per_zone=2, seed=1):
+    def __init__(self, speed, per_zone=2, seed=1, n_slots=64, make_placement=placement):
         self.speed = speed
         entries = fleet(per_zone)
-        self.placement = placement(entries)
-        self.engines = {item.upstream_id: Engine(speed) for item in entries}
+        self.placement = make_placement(entries)
+        self.engines = {item.upstream_id: Engine(speed, n_slots) for item in entries}
         self.budget = RetryBudget(0.5, 50.0)
         self.callers = []
         self.now_ms = 0.0
@@ -197,6 +210,24 @@
                 if not caller.outcome:
                     caller.step(self.now_ms)
 
+    def open(self, engine_run, upstream_id):
+        """Open a run on an engine, unless it is lost or full."""
+        engine = self.engines[upstream_id]
+        if engine.is_lost:
+            engine_run.caller.faults.append((engine_run.number, Fault.UNREACHABLE))
+        elif len(engine.runs) >= engine.n_slots:
+            engine_run.caller.faults.append((engine_run.number, Fault.FULL))
+        else:
+            engine.runs.append(engine_run)
+
+    def lose(self, upstream_id):
+        """End an engine together with its runs."""
+        engine = self.engines[upstream_id]
+        engine.is_lost = True
+        for run in engine.runs:
+            run.caller.faults.append((run.number, Fault.BROKEN))
+        engine.runs = []
+
     def remove(self, engine_run):
         for engine in self.engines.values():
             if engine_run in engine.runs:
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_table.py
@@ -0,0 +1,155 @@
+"""Play loads with today's placement and with turns, and print what callers get.
+
+`python -m bronzeline_kernel.tests.forwarding.load_table`
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+from statistics import quantiles
+
+from bronzeline_kernel.forwarding import Placement
+from bronzeline_kernel.tests.forwarding.load_player import EngineSpeed, LoadPlayer
+from bronzeline_kernel.tests.forwarding.samples import placement
+
+TARGET_MS = 4_500.0
+LENGTH_MS = 20_000.0
+SEEDS = (1, 2, 3)
+# Six engines read a prompt of the sample's length in a second each.
+CAPACITY_PER_S = 6.0
+CREST_FROM_MS, CREST_TO_MS = 8_000.0, 11_000.0
+FAULT_AT_MS = 6_000.0
+
+
+class TurnPlacement(Placement):
+    """Choose engines by turns, whatever they have to do."""
+
+    n_chosen = 0
+
+    def choose_for_stream(self, service, now_ms, exclude=(), prompt=None):
+        choice = super().choose_for_stream(service, now_ms, exclude, prompt)
+        if choice is None:
+            return None
+        usable = [
+            item
+            for item in self.upstreams.usable(service, now_ms)
+            if item.incarnation not in exclude
+            and not self.health.is_avoided(item.incarnation, now_ms)
+        ]
+        self.n_chosen += 1
+        return replace(choice, upstream=usable[self.n_chosen % len(usable)])
+
+
+def turn_placement(entries):
+    today = placement(entries)
+    return TurnPlacement(
+        today.own_zone, today.upstreams, today.health, today.random, today.options
+    )
+
+
+def no_fault(player):
+    """Change nothing."""
+
+
+def lose_half(player):
+    """End every second engine."""
+    for upstream_id in sorted(player.engines)[::2]:
+        player.lose(upstream_id)
+
+
+def slow_zone(player):
+    """Let the engines of one zone work at a third of their speed."""
+    for upstream_id, engine in player.engines.items():
+        if upstream_id.startswith("zone-b"):
+            engine.speed = engine.speed.times(1 / 3)
+
+
+@dataclass(frozen=True)
+class Load:
+    """Set how many streams come, of which sizes, and what happens meanwhile."""
+
+    share_of_capacity: float
+    crest_factor: float = 1.0
+    prompt_sizes: tuple[int, ...] = (5_000,)
+    fault: Callable[[LoadPlayer], None] = no_fault
+
+
+LOADS = {
+    "steady, 0.6 of capacity": Load(0.6),
+    "a crest of 1.7 for 3 s": Load(0.6, crest_factor=1.7),
+    "long and short prompts": Load(0.6, prompt_sizes=(1_000, 1_000, 13_000)),
+    "half of the engines lost": Load(0.4, fault=lose_half),
+    "a zone turned slow": Load(0.5, fault=slow_zone),
+}
+PLACEMENTS = {"today": placement, "turns": turn_placement}
+
+
+@dataclass(frozen=True)
+class Result:
+    """Hold what the callers of a load got, as shares and in milliseconds."""
+
+    in_time: float
+    late: float
+    refused: float
+    failed: float
+    p50_ms: float
+    p99_ms: float
+
+
+def play(load, make_placement, seed):
+    """Play a load and return its callers."""
+    random = Random(seed)
+    player = LoadPlayer(
+        EngineSpeed(), seed=seed, n_slots=16, make_placement=make_placement
+    )
+    has_failed = False
+    while player.now_ms < LENGTH_MS:
+        if not has_failed and player.now_ms >= FAULT_AT_MS:
+            has_failed = True
+            load.fault(player)
+        is_crest = CREST_FROM_MS <= player.now_ms < CREST_TO_MS
+        rate_per_s = CAPACITY_PER_S * load.share_of_capacity
+        rate_per_s *= load.crest_factor if is_crest else 1.0
+        player.send(n_prompt_tokens=random.choice(load.prompt_sizes))
+        player.wait(random.expovariate(rate_per_s) * 1_000.0)
+    while not all(caller.outcome for caller in player.callers):
+        player.wait(100.0)
+    return player.callers
+
+
+def measure(load, make_placement):
+    """Play a load with each seed and return what its callers got."""
+    callers = [caller for seed in SEEDS for caller in play(load, make_placement, seed)]
+    first_ms = [caller.first_event_ms for caller in callers if caller.first_event_ms]
+    served = [caller for caller in callers if caller.outcome == "served"]
+    in_time = sum(caller.first_event_ms <= TARGET_MS for caller in served)
+    refused = sum(caller.outcome == "not_run" for caller in callers)
+    n_callers = len(callers)
+    percentiles = quantiles(first_ms, n=100)
+    return Result(
+        in_time / n_callers,
+        (len(served) - in_time) / n_callers,
+        refused / n_callers,
+        (n_callers - len(served) - refused) / n_callers,
+        percentiles[49],
+        percentiles[98],
+    )
+
+
+def main():
+    print("| Load | Placement | In time | Late | Refused | Failed | p50 ms | p99 ms |")
+    print("| --- " * 8 + "|")
+    for name, load in LOADS.items():
+        for policy, make_placement in PLACEMENTS.items():
+            result = measure(load, make_placement)
+            print(
+                f"| {name} | {policy} | {result.in_time:.3f} | {result.late:.3f} "
+                f"| {result.refused:.3f} | {result.failed:.3f} "
+                f"| {result.p50_ms:.0f} | {result.p99_ms:.0f} |"
+            )
+
+
+if __name__ == "__main__":
+    main()
