Split the files of forwarding that had grown

Cause: stream_run, placement, relay and directory_watch each did a second thing: keep an attempt's copies, sum peers' reports, buffer and describe attempts, judge the store's availability. Change: code is moved to stream_attempt, prompt_evidence, peer_reports, attempt_buffers, attempt_fields and watch_states, without a change of behaviour; the age limit for peers' reports is a constant in place of an option that nothing set. Tests are split by subject.

--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -0,0 +1,48 @@
+"""Describe an attempt in the log and the metrics."""
+
+from __future__ import annotations
+
+from bronzeline_kernel.forwarding import Choice, ListedUpstream, Send
+
+__all__ = ["attempt_fields", "attempt_origin"]
+
+
+def attempt_fields(action: Send, n_retries_left: float) -> dict[str, object]:
+    """Return the log fields that tell where an attempt goes, and why."""
+    return {
+        "number": action.number,
+        "upstream_id": action.upstream.upstream_id,
+        "budget_ms": round(action.budget_ms),
+        "after_event": action.after_event,
+        "copy_from": _id_of(action.copy_from.keeper if action.copy_from else None),
+        "copy_to": _id_of(action.copy_to),
+        "budget_left": round(n_retries_left, 1),
+        **_choice_fields(action.choice),
+    }
+
+
+def attempt_origin(action: Send) -> str:
+    """Return whether an attempt is the first, reads the prompt again or a copy."""
+    if action.copy_from is not None:
+        return "copy"
+    return "first" if action.number == 1 else "prompt"
+
+
+def _id_of(upstream: ListedUpstream | None) -> str:
+    return upstream.upstream_id if upstream else ""
+
+
+def _choice_fields(choice: Choice | None) -> dict[str, object]:
+    """Return the log fields that explain why an upstream was chosen."""
+    if choice is None:
+        return {}
+    durations_ms = {
+        "cost_ms": choice.cost_ms,
+        "next_cost_ms": choice.next_cost_ms,
+        "reports_age_ms": choice.reports_age_ms,
+        "sign_age_ms": choice.sign_age_ms,
+    }
+    rounded = {
+        name: round(value) for name, value in durations_ms.items() if value is not None
+    }
+    return {"n_compared": choice.n_compared, "next_id": choice.next_id, **rounded}
--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -4,10 +4,16 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from random import Random
 
 from bronzeline_daemon.forwarding.peer_documents import PeerDocuments
+from bronzeline_daemon.forwarding.watch_states import (
+    CONFIG,
+    UPSTREAMS,
+    WatchPosition,
+    WatchState,
+    WatchStates,
+)
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.exceptions import (
     HistoryLostError,
@@ -38,42 +44,17 @@
 # A router that gets its data from a peer checks this often whether it must read
 # the store.
 IDLE_POLL_S = 0.1
-RETRY_MIN_MS = 150.0
-RETRY_MAX_MS = 450.0
 # While the store is unavailable, every other call gets this timeout, ten times
 # the latency of a slow store, so that a call without a response does not delay
 # recovery. The calls between use the store client's own timeout, in case the
 # store is even slower.
 SHORT_TIMEOUT_MS = 450.0
 
-CONFIG, UPSTREAMS = "config", "upstreams"
-
 OnConfig = Callable[[], None]
 # Called with the kind of object and the outcome of a call.
 OnCall = Callable[[str, str], None]
 
 
-@dataclass(frozen=True)
-class WatchPosition:
-    """Hold the revision that was read, and the time of the next call."""
-
-    revision: int
-    next_at_ms: float = 0.0
-
-
-@dataclass
-class WatchState:
-    """Hold the state of watching one kind of object."""
-
-    # The peer to fetch newer data from; it does not fit into a datagram.
-    peer_ahead: RouterEntry | None = None
-    is_unavailable: bool = False
-    has_short_timeout: bool = False
-    has_lost_history: bool = False
-    n_failures: int = 0
-    call: asyncio.Task[WatchPosition] | None = None
-
-
 class DirectoryWatch:
     """Keep a view up to date, with one loop per kind of object."""
 
@@ -96,7 +77,8 @@
         self._documents = documents
         self._on_config = on_config
         self._on_call = on_call
-        self._states = {CONFIG: WatchState(), UPSTREAMS: WatchState()}
+        self._watch_states = WatchStates(proof_source, random)
+        self._states = self._watch_states.by_kind
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -131,7 +113,11 @@
             peer, state.peer_ahead = state.peer_ahead, None
             if peer is not None and await self._fetch_from(peer, kind):
                 continue
-            if revision is not None and peer is None and not self._must_read(kind):
+            if (
+                revision is not None
+                and peer is None
+                and not self._watch_states.must_read(kind, self._clock.now_ms())
+            ):
                 await asyncio.sleep(IDLE_POLL_S)
                 continue
             if peer is not None:
@@ -148,34 +134,16 @@
             except StoreUnavailableError as error:
                 self._on_call(kind, "unavailable")
                 self._mark_unavailable(kind, str(error))
-                await asyncio.sleep(self._retry_pause_ms(state) / 1000.0)
+                await asyncio.sleep(
+                    self._watch_states.retry_pause_ms(kind, self._clock.now_ms())
+                    / 1000.0
+                )
             else:
                 self._on_call(kind, "answered")
                 self._mark_available(kind)
                 revision = position.revision
                 await self._pause(kind, position.next_at_ms)
 
-    def _must_read(self, kind: str) -> bool:
-        """Return whether this router must read the store now.
-
-        While the store does not respond, a router that reads for itself alone
-        tries it with one of the two kinds.
-        """
-        now_ms = self._clock.now_ms()
-        is_config_unavailable = self._states[CONFIG].is_unavailable
-        if kind == UPSTREAMS and is_config_unavailable:
-            is_reader = self._proof_source.retry_pause_ms(1, now_ms) is None
-            return is_reader and self._proof_source.must_read_store(now_ms)
-        return self._proof_source.must_read_store(now_ms)
-
-    def _retry_pause_ms(self, state: WatchState) -> float:
-        """Return the pause before the next call to a store that doesn't respond."""
-        now_ms = self._clock.now_ms()
-        pause_ms = self._proof_source.retry_pause_ms(state.n_failures, now_ms)
-        if pause_ms is None:
-            return self._random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
-        return pause_ms * self._random.uniform(0.8, 1.2)
-
     async def _fetch_from(self, peer: RouterEntry, kind: str) -> bool:
         """Fetch and apply a peer's data; return whether the peer answered."""
         try:
@@ -212,7 +180,7 @@
         """
         state = self._states[kind]
         state.has_short_timeout = (
-            self._is_any_unavailable() and not state.has_short_timeout
+            self._watch_states.is_any_unavailable and not state.has_short_timeout
         )
         limit_s = SHORT_TIMEOUT_MS / 1000.0 if state.has_short_timeout else None
         call = state.call = asyncio.create_task(work)
@@ -299,7 +267,7 @@
             return WatchPosition(listing.revision)
         # A peer may have sent later changes in the meantime.
         after_revision = max(revision, self._view.changes.revision)
-        wait_ms = 0.0 if self._is_any_unavailable() else UPSTREAM_WAIT_MS
+        wait_ms = 0.0 if self._watch_states.is_any_unavailable else UPSTREAM_WAIT_MS
         changes = await self._store.watch_upstreams(after_revision, wait_ms)
         self.apply_changes(changes.changes, changes.revision)
         is_grouped = bool(changes.changes)
@@ -318,9 +286,6 @@
                 revision=revision,
             )
 
-    def _is_any_unavailable(self) -> bool:
-        return any(state.is_unavailable for state in self._states.values())
-
     def _mark_unavailable(self, kind: str, error: str) -> None:
         state = self._states[kind]
         if not state.is_unavailable:
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -7,6 +7,8 @@
 from typing import ClassVar
 
 from bronzeline_daemon.forwarding.attempt import Attempt, AttemptListener
+from bronzeline_daemon.forwarding.attempt_buffers import AttemptBuffers
+from bronzeline_daemon.forwarding.attempt_fields import attempt_fields, attempt_origin
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
 from bronzeline_daemon.forwarding.relay_context import (
     RelayContext,
@@ -18,7 +20,6 @@
     Abandon,
     Action,
     CallerRequest,
-    Choice,
     CopyRun,
     CopySource,
     DropCopy,
@@ -28,9 +29,7 @@
     Fault,
     FindEarlierRun,
     Finish,
-    ListedUpstream,
     Probe,
-    ResponseBuffer,
     ResponseHead,
     Send,
     WorkspaceKeys,
@@ -71,7 +70,7 @@
         self._machine = machine
         self._workspace = workspace
         self._attempts: dict[int, Attempt] = {}
-        self._buffers: dict[int, ResponseBuffer] = {}
+        self._buffers = AttemptBuffers(context.connection_pool.response_budget)
         # While the caller does not read, an upstream's events wait.
         self.is_waiting_for_caller = False
         self._started_at_ms = context.clock.now_ms()
@@ -201,17 +200,9 @@
             self.now_ms(),
         )
         self._attempts[action.number] = attempt
-        self.context.metrics.attempt_sent(_attempt_origin(action))
+        self.context.metrics.attempt_sent(attempt_origin(action))
         self._log.info(
-            "attempt_sent",
-            number=action.number,
-            upstream_id=action.upstream.upstream_id,
-            budget_ms=round(action.budget_ms),
-            after_event=action.after_event,
-            copy_from=_id_of(action.copy_from.keeper if action.copy_from else None),
-            copy_to=_id_of(action.copy_to),
-            budget_left=round(self._machine.budget.n_left, 1),
-            **_choice_fields(action.choice),
+            "attempt_sent", **attempt_fields(action, self._machine.budget.n_left)
         )
         attempt.start()
 
@@ -228,24 +219,18 @@
 
     def start_buffer(self, number: int) -> None:
         """Start to buffer the body of an attempt's response."""
-        if self._machine.is_over:
-            return
-        address = self._attempts[number].send.upstream.address
-        budget = self.context.connection_pool.response_budget
-        self._buffers[number] = ResponseBuffer(budget, address)
+        if not self._machine.is_over:
+            address = self._attempts[number].send.upstream.address
+            self._buffers.start(number, address)
 
     def buffer(self, number: int, chunk: bytes) -> None:
-        """Buffer a chunk; fail an attempt whose response is too large.
-
-        Nothing is buffered for an attempt that goes on after its caller has left.
-        """
-        buffer = self._buffers.get(number)
-        if buffer is not None and not buffer.append(chunk):
+        """Buffer a chunk; fail an attempt whose response is too large."""
+        if not self._buffers.append(number, chunk):
             self.fail_attempt(number, Fault.TOO_LARGE)
 
     def pop_buffer(self, number: int) -> bytes:
         """Return the buffered body of an attempt's response."""
-        return self._buffers.pop(number).pop()
+        return self._buffers.pop(number)
 
     def fail_attempt(self, number: int, fault: Fault) -> None:
         """Abandon an attempt whose response can't be used."""
@@ -323,8 +308,6 @@
     def _report_end(self, outcome: str, reason: str) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        for buffer in self._buffers.values():
-            buffer.pop()
         self._buffers.clear()
         self.after_end()
         report = RequestReport(
@@ -356,31 +339,5 @@
         self._log.end()
 
 
-def _id_of(upstream: ListedUpstream | None) -> str:
-    return upstream.upstream_id if upstream else ""
-
-
-def _choice_fields(choice: Choice | None) -> dict[str, object]:
-    """Return the log fields that explain why an upstream was chosen."""
-    if choice is None:
-        return {}
-    durations_ms = {
-        "cost_ms": choice.cost_ms,
-        "next_cost_ms": choice.next_cost_ms,
-        "reports_age_ms": choice.reports_age_ms,
-        "sign_age_ms": choice.sign_age_ms,
-    }
-    rounded = {
-        name: round(value) for name, value in durations_ms.items() if value is not None
-    }
-    return {"n_compared": choice.n_compared, "next_id": choice.next_id, **rounded}
-
-
-def _attempt_origin(action: Send) -> str:
-    if action.copy_from is not None:
-        return "copy"
-    return "first" if action.number == 1 else "prompt"
-
-
 def _ignore_report(report: RequestReport) -> None:
     """Ignore a report while no callback is set."""
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -61,10 +61,9 @@
     UpstreamReplaced,
     ZoneLost,
 )
+from bronzeline_kernel.forwarding.peer_reports import Load, LoadByUpstream
 from bronzeline_kernel.forwarding.placement import (
     Choice,
-    Load,
-    LoadByUpstream,
     Placement,
     PlacementOptions,
 )
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -4,12 +4,18 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
 
 from bronzeline_kernel.forwarding.engine_pace import EnginePace
 from bronzeline_kernel.forwarding.health import UpstreamHealth
+from bronzeline_kernel.forwarding.peer_reports import (
+    Load,
+    LoadByUpstream,
+    PeerLoads,
+    PeerReports,
+)
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
 from bronzeline_kernel.forwarding.upstream_set import (
     Incarnation,
@@ -17,7 +23,7 @@
     UpstreamSet,
 )
 
-__all__ = ["Choice", "Load", "LoadByUpstream", "Placement", "PlacementOptions"]
+__all__ = ["Choice", "Placement", "PlacementOptions"]
 
 _CostFunction = Callable[[ListedUpstream], float]
 
@@ -49,43 +55,6 @@
     # Bounds the sample of a choice; comparing this many upstreams takes 0.1 ms.
     max_own_zone: int = 32
     max_other_zones: int = 32
-    # Peers report each change in prompts; reading a prompt takes about this long.
-    max_peer_load_age_ms: float = 2_500.0
-
-
-@dataclass
-class Load:
-    """Count the work on one upstream by kind."""
-
-    n_prompts: int = 0
-    n_streams: int = 0
-    n_copies: int = 0
-    n_calls: int = 0
-
-
-@dataclass(frozen=True)
-class LoadByUpstream:
-    """Count a router's work by upstream id; idle upstreams are left out."""
-
-    prompts: Mapping[str, int] = field(default_factory=dict)
-    streams: Mapping[str, int] = field(default_factory=dict)
-    copies: Mapping[str, int] = field(default_factory=dict)
-
-
-@dataclass(frozen=True)
-class ReportedLoad:
-    """Hold the load that a peer reported, and when."""
-
-    at_ms: float
-    load: LoadByUpstream
-
-
-@dataclass(frozen=True)
-class PeerLoads:
-    """Hold the sum of the peers' loads by upstream, and the oldest report's age."""
-
-    by_upstream: Mapping[str, Load]
-    age_ms: float | None
 
 
 @dataclass(frozen=True)
@@ -120,7 +89,7 @@
         default_factory=lambda: defaultdict(EnginePace)
     )
     _loads: dict[str, Load] = field(default_factory=dict)
-    _reported_loads: dict[str, ReportedLoad] = field(default_factory=dict)
+    _peer_reports: PeerReports = field(default_factory=PeerReports)
 
     def load(self, upstream_id: str) -> Load:
         """Return this router's load on an upstream, for modification in place."""
@@ -134,7 +103,7 @@
         self, router_id: str, load: LoadByUpstream, now_ms: float
     ) -> None:
         """Replace the load that a peer reported."""
-        self._reported_loads[router_id] = ReportedLoad(now_ms, load)
+        self._peer_reports.put(router_id, load, now_ms)
 
     def own_load(self) -> LoadByUpstream:
         """Return this router's load on each upstream."""
@@ -147,12 +116,7 @@
 
     def prune(self, now_ms: float) -> None:
         """Drop the state of upstreams no longer listed, and old peer reports."""
-        max_age_ms = self.options.max_peer_load_age_ms
-        self._reported_loads = {
-            key: item
-            for key, item in self._reported_loads.items()
-            if now_ms - item.at_ms < max_age_ms
-        }
+        self._peer_reports.prune(now_ms)
         self.health.keep_only(self.upstreams.incarnations())
         self._loads = {
             key: item
@@ -168,7 +132,7 @@
         prompt: Prompt | None = None,
     ) -> Choice | None:
         """Choose the upstream for a stream, preferring one that cached its prompt."""
-        peers = self._peer_loads(now_ms)
+        peers = self._peer_reports.total(now_ms)
         prompt_ms = self.pace(service).usual_prompt_ms
 
         def cost(upstream: ListedUpstream) -> float:
@@ -219,7 +183,7 @@
                 for item in others
                 if item.availability_zone != primary.availability_zone
             ]
-        peers = self._peer_loads(now_ms)
+        peers = self._peer_reports.total(now_ms)
         choice = self._pick(
             others, lambda item: self._copy_cost(item, peers, now_ms), now_ms
         )
@@ -363,23 +327,6 @@
         zone = (upstream.service, upstream.availability_zone)
         return self.health.is_zone_suspect(zone, upstream.incarnation, now_ms)
 
-    def _peer_loads(self, now_ms: float) -> PeerLoads:
-        """Sum the recent load reports of peers by upstream."""
-        loads: defaultdict[str, Load] = defaultdict(Load)
-        oldest_ms: float | None = None
-        for item in self._reported_loads.values():
-            age_ms = now_ms - item.at_ms
-            if age_ms >= self.options.max_peer_load_age_ms:
-                continue
-            oldest_ms = max(age_ms, oldest_ms or 0.0)
-            for upstream_id, number in item.load.prompts.items():
-                loads[upstream_id].n_prompts += number
-            for upstream_id, number in item.load.streams.items():
-                loads[upstream_id].n_streams += number
-            for upstream_id, number in item.load.copies.items():
-                loads[upstream_id].n_copies += number
-        return PeerLoads(loads, oldest_ms)
-
     def _total_load(self, upstream_id: str, peers: PeerLoads) -> Load:
         """Return the sum of this router's and the peers' load on an upstream."""
         own, others = self.load(upstream_id), peers.by_upstream.get(upstream_id)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -24,31 +24,16 @@
     Send,
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
+from bronzeline_kernel.forwarding.prompt_evidence import PromptEvidence
 from bronzeline_kernel.forwarding.prompt_index import Prompt
-from bronzeline_kernel.forwarding.stream_limits import StreamLimits, stream_limits
+from bronzeline_kernel.forwarding.stream_attempt import Attempt
+from bronzeline_kernel.forwarding.stream_limits import stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
 
 __all__ = ["StreamRun"]
 
 
-@dataclass
-class Attempt:
-    """Hold the state of the attempt that may append events to the response."""
-
-    number: int
-    upstream: ListedUpstream
-    sent_at_ms: float
-    progress_at_ms: float
-    probed_at_ms: float
-    limits: StreamLimits
-    is_from_copy: bool = False
-    copy_to: ListedUpstream | None = None
-    has_events: bool = False
-    copy: CopySource | None = None
-    copy_due_ms: float = 0.0
-
-
 @dataclass
 class StreamRun:
     """Decide where a stream runs, and where it resumes when its upstream is lost."""
@@ -116,7 +101,7 @@
             self.placement.pace(self.service).record_gap(gap_ms)
         else:
             attempt.has_events = True
-            self._record_first_event(attempt, now_ms)
+            self._evidence().record_first_event(attempt, now_ms)
             self.placement.load(attempt.upstream.upstream_id).n_prompts -= 1
         self.placement.health.record_success(attempt.upstream.incarnation, now_ms)
         if event_id != self.last_event + 1:
@@ -222,30 +207,6 @@
         self.is_over = True
         return [Abandon(number), *drops] if number else []
 
-    def _record_first_event(self, attempt: Attempt, now_ms: float) -> None:
-        """Record how long the prompt or the resume took, also as evidence of health."""
-        pace = self.placement.pace(self.service)
-        took_ms = now_ms - attempt.sent_at_ms
-        if attempt.is_from_copy:
-            pace.record_resume(took_ms)
-            return
-        n_unread_tokens = self._n_unread_tokens(attempt.upstream, attempt.sent_at_ms)
-        if n_unread_tokens < self.request.n_prompt_tokens or not n_unread_tokens:
-            # A cached prompt says nothing about the time to read one.
-            return
-        usual_ms = self.options.slow_prompt_ratio * pace.prompt_ms(n_unread_tokens)
-        incarnation = attempt.upstream.incarnation
-        self.placement.health.record_prompt_time(incarnation, took_ms, usual_ms, now_ms)
-        pace.record_prompt(n_unread_tokens, took_ms)
-
-    def _n_unread_tokens(self, upstream: ListedUpstream, now_ms: float) -> int:
-        """Return how many tokens of the prompt an upstream has not cached."""
-        request = self.request
-        prompt = Prompt(request.unique_part_id, request.n_prompt_tokens)
-        index = self.placement.prompts
-        cached_share = index.cached_share(upstream.incarnation, prompt, now_ms)
-        return round((1.0 - cached_share) * prompt.n_tokens)
-
     def _is_current(self, number: int) -> bool:
         if self.is_over or self.attempt is None:
             return False
@@ -411,11 +372,13 @@
             return self._fail_not_served("too little time for the prompt")
         return [self._send(choice.upstream, now_ms, choice=choice)]
 
+    def _evidence(self) -> PromptEvidence:
+        return PromptEvidence(self.request, self.service, self.placement, self.options)
+
     def _would_miss_deadline(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether the deadline passes before the prompt can be read."""
-        n_unread_tokens = self._n_unread_tokens(upstream, now_ms)
-        pace = self.placement.pace(self.service)
-        return now_ms + pace.fastest_prompt_ms(n_unread_tokens) >= self.deadline_ms
+        read_ms = self._evidence().fastest_read_ms(upstream, now_ms)
+        return now_ms + read_ms >= self.deadline_ms
 
     def _send(
         self,
@@ -453,19 +416,9 @@
             self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to, choice
         )
 
-    def _copies(self, attempt: Attempt) -> list[CopySource]:
-        """Return the newest copy and the first one; none before the first event."""
-        if not attempt.has_events:
-            return []
-        copies = [attempt.copy] if attempt.copy is not None else []
-        keeper = attempt.copy_to
-        if keeper is not None:
-            copies.append(CopySource(keeper, keeper, self.request.request_id))
-        return copies
-
     def _copy_of(self, attempt: Attempt, now_ms: float) -> CopySource | None:
         """Return a copy whose keeper seems to be alive."""
-        for copy in self._copies(attempt):
+        for copy in attempt.copies(self.request.request_id):
             if self._is_keeper_available(copy.keeper, now_ms):
                 return copy
         return None
@@ -478,7 +431,7 @@
         copy = self._copy_of(attempt, now_ms)
         if copy is not None:
             return copy
-        for copy in self._copies(attempt):
+        for copy in attempt.copies(self.request.request_id):
             if self.placement.may_keeper_hold(copy.keeper, now_ms):
                 return copy
         return None
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
@@ -150,7 +150,7 @@
             self.placement.set_peer_load(router_id, load, at_ms)
         self.placement.prune(3_000.0)
         self.assertEqual(set(self.placement._loads), {"zone-a-1"})
-        self.assertEqual(set(self.placement._reported_loads), {"here"})
+        self.assertEqual(set(self.placement._peer_reports._by_router), {"here"})
         score = self.placement.health.failure_score(gone[0].incarnation, 0.0)
         self.assertEqual(score, 0.0)
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -2,80 +2,23 @@
 
 from nose2.tools import params
 
-from bronzeline_kernel.admission import RetryBudget
 from bronzeline_kernel.forwarding import (
     Abandon,
-    CopyRun,
     CopySource,
-    DropCopy,
     Fail,
     Failure,
     Fault,
     FindEarlierRun,
     Finish,
-    Probe,
     Send,
-    StreamOptions,
-    StreamRun,
 )
 from bronzeline_kernel.tests.forwarding.samples import (
-    ENGINES,
     fleet,
-    placement,
     request,
     route,
     upstream,
 )
-
-OPTIONS = StreamOptions()
-
-
-class Driver:
-    """Drive one stream and record the actions that it returns."""
-
-    def __init__(self, per_zone=2, budget=50.0, **run_fields):
-        self.placement = placement(fleet(per_zone))
-        self.now_ms = 0.0
-        self.run = StreamRun(
-            run_fields.pop("request", request()),
-            run_fields.pop("route", route()),
-            ENGINES,
-            self.placement,
-            RetryBudget(0.5, budget),
-            25_000.0,
-            **run_fields,
-        )
-        self.actions = []
-
-    def collect(self, actions):
-        self.actions += actions
-        return actions
-
-    def start(self):
-        return self.collect(self.run.start(self.now_ms))[0]
-
-    def event(self, number, event_id, after_ms=40.0):
-        self.now_ms += after_ms
-        return self.run.accept_event(number, event_id, self.now_ms)
-
-    def events(self, number, count, after_ms=40.0):
-        first = self.run.last_event + 1
-        return [
-            self.event(number, event_id, after_ms)
-            for event_id in range(first, first + count)
-        ]
-
-    def fail_attempt(self, number, fault=Fault.BROKEN):
-        return self.collect(self.run.lost(number, fault, self.now_ms))
-
-    def wait(self, duration_ms, step_ms=10.0):
-        """Advance the time in steps; return each action with its time."""
-        end_ms, timed_actions = self.now_ms + duration_ms, []
-        while self.now_ms < end_ms:
-            self.now_ms += step_ms
-            for action in self.collect(self.run.tick(self.now_ms)):
-                timed_actions.append((self.now_ms, action))
-        return timed_actions
+from bronzeline_kernel.tests.forwarding.stream_driver import OPTIONS, Driver
 
 
 class SingleUpstreamTests(unittest.TestCase):
@@ -230,190 +173,6 @@
         self.assertEqual(driver.fail_attempt(1)[-1].reason, "quarantined")
 
 
-class SilenceTests(unittest.TestCase):
-    def test_silent_upstream_is_probed_then_abandoned_within_the_gap(self):
-        driver = Driver()
-        driver.start()
-        driver.events(1, 3)
-        began_ms = driver.now_ms
-        timed_actions = driver.wait(600.0)
-        kinds = [type(action) for _, action in timed_actions]
-        self.assertEqual(kinds, [Probe, Probe, Abandon, Send])
-        self.assertLessEqual(timed_actions[-1][0] - began_ms, 530.0)
-        self.assertIsNotNone(timed_actions[-1][1].copy_from)
-
-    def test_dead_upstream_is_abandoned_immediately(self):
-        driver = Driver()
-        first = driver.start()
-        driver.events(1, 3)
-        driver.wait(230.0)
-        actions = driver.run.probed(first.upstream.incarnation, False, driver.now_ms)
-        self.assertEqual([type(item) for item in actions], [Abandon, Send])
-
-    @params(True, False)
-    def test_successful_probe_or_later_event_keeps_the_upstream(self, is_alive):
-        driver = Driver()
-        first = driver.start()
-        driver.events(1, 3)
-        driver.wait(230.0)
-        if not is_alive:
-            driver.event(1, 4, after_ms=1.0)
-        incarnation = first.upstream.incarnation
-        self.assertEqual(driver.run.probed(incarnation, is_alive, driver.now_ms), [])
-
-    def test_suspension_of_this_process_is_not_counted_as_silence(self):
-        driver = Driver()
-        driver.start()
-        driver.events(1, 3)
-        driver.now_ms += 3_000.0
-        driver.run.process_paused(driver.now_ms)
-        self.assertEqual(driver.run.tick(driver.now_ms), [])
-
-    @params((True, 9_000.0), (False, 3_000.0))
-    def test_busy_upstream_gets_more_time_before_the_first_event(
-        self, is_busy, limit_ms
-    ):
-        driver = Driver()
-        first = driver.start()
-        abandoned_at_ms = None
-        while abandoned_at_ms is None:
-            if is_busy:
-                driver.placement.health.record_connection(
-                    first.upstream.incarnation, driver.now_ms
-                )
-            for at_ms, action in driver.wait(10.0):
-                if isinstance(action, Abandon):
-                    abandoned_at_ms = at_ms
-        self.assertAlmostEqual(abandoned_at_ms, limit_ms, delta=20.0)
-
-    def test_deadline_ends_the_stream(self):
-        driver = Driver()
-        driver.start()
-        driver.now_ms = 25_000.0
-        actions = driver.run.tick(driver.now_ms)
-        self.assertEqual(actions[-1].failure, Failure.TIMED_OUT)
-
-    def test_zone_loss_causes_no_gap_beyond_limit(self):
-        """Simulate the loss of a zone with many streams; check each caller's gap."""
-        drivers = [Driver(per_zone=3) for _ in range(30)]
-        for number, driver in enumerate(drivers):
-            driver.placement.random.seed(number)
-            driver.start()
-            driver.events(1, 3 + number % 5)
-            began_ms = driver.now_ms
-            timed_actions = driver.wait(600.0)
-            sent = [(at, item) for at, item in timed_actions if isinstance(item, Send)]
-            self.assertEqual(len(sent), 1)
-            # A copy gives its first event within 140 ms; a gap may last 700 ms.
-            self.assertLessEqual(sent[0][0] - began_ms + 140.0, 700.0)
-            self.assertNotEqual(sent[0][1].upstream.availability_zone, "zone-a")
-
-
-class CopyTests(unittest.TestCase):
-    def remove_keeper(self, driver, first):
-        driver.placement.upstreams.remove(first.copy_to.upstream_id, driver.now_ms)
-
-    def test_new_copy_is_made_after_loss_of_the_keeper(self):
-        driver = Driver()
-        first = driver.start()
-        driver.events(1, 3)
-        self.assertEqual(driver.run.tick(driver.now_ms), [])
-        self.remove_keeper(driver, first)
-        copy_run = driver.run.tick(driver.now_ms)[0]
-        self.assertIsInstance(copy_run, CopyRun)
-        self.assertNotEqual(copy_run.keeper, first.copy_to)
-        copy = CopySource(copy_run.keeper, copy_run.source, "h-1")
-        driver.run.copied(1, copy, driver.now_ms)
-        second = driver.fail_attempt(1)[0]
-        self.assertEqual((second.upstream, second.copy_from), (copy_run.keeper, copy))
-
-    def test_copy_on_request_is_refreshed_and_dropped_at_the_end(self):
-        driver = Driver()
-        first = driver.start()
-        driver.events(1, 3)
-        self.remove_keeper(driver, first)
-        copy_run = driver.run.tick(driver.now_ms)[0]
-        copy = CopySource(copy_run.keeper, copy_run.source, "h-1")
-        driver.run.copied(1, copy, driver.now_ms)
-        driver.events(1, 70)
-        refresh = driver.run.tick(driver.now_ms)[0]
-        self.assertEqual(refresh.keeper, copy_run.keeper)
-        self.assertEqual(driver.run.ended(1), [Finish(1), DropCopy(copy)])
-
-    def test_failed_copy_is_retried_later(self):
-        driver = Driver()
-        first = driver.start()
-        driver.events(1, 3)
-        self.remove_keeper(driver, first)
-        driver.run.tick(driver.now_ms)
-        driver.run.copied(1, None, driver.now_ms)
-        self.assertEqual(driver.run.tick(driver.now_ms + 100.0), [])
-        self.assertIsInstance(driver.run.tick(driver.now_ms + 501.0)[0], Probe)
-        driver.event(1, 4, after_ms=510.0)
-        self.assertIsInstance(driver.run.tick(driver.now_ms)[0], CopyRun)
-
-    def test_copy_of_an_ended_attempt_is_dropped(self):
-        driver = Driver()
-        first = driver.start()
-        driver.events(1, 3)
-        copy = CopySource(first.copy_to, first.upstream, "h-1")
-        driver.fail_attempt(1)
-        actions = driver.run.copied(1, copy, driver.now_ms)
-        self.assertEqual(actions, [DropCopy(copy)])
-
-    def test_resent_request_resumes_from_the_earlier_copy(self):
-        keeper = fleet()[-1]
-        copy = CopySource(keeper, keeper, "id-0")
-        driver = Driver(find_copy=lambda now_ms: copy)
-        first = driver.start()
-        self.assertEqual((first.upstream, first.copy_from), (keeper, copy))
-        self.assertIsNone(driver.fail_attempt(1, Fault.FULL)[0].copy_from)
-
-
-class SuspectKeeperTests(unittest.TestCase):
-    """The keeper's zone is reported lost, because of another of its upstreams."""
-
-    def setUp(self):
-        self.driver = Driver()
-        self.sent = self.driver.start()
-        self.driver.events(1, 5)
-        keeper = self.sent.copy_to
-        zone = (ENGINES, keeper.availability_zone)
-        self.driver.now_ms += 100.0
-        self.driver.placement.health.record_peer_zone_loss(zone, self.driver.now_ms)
-
-    def test_the_stream_resumes_from_the_copy(self):
-        resumed = self.driver.fail_attempt(1)[0]
-        self.assertEqual(resumed.upstream, self.sent.copy_to)
-        self.assertIsNotNone(resumed.copy_from)
-
-    def test_the_prompt_is_read_again_only_once_the_keeper_is_lost_too(self):
-        self.driver.fail_attempt(1)
-        retried = self.driver.fail_attempt(2, Fault.UNREACHABLE)[0]
-        self.assertIsNone(retried.copy_from)
-
-    def test_a_copy_is_made_elsewhere_and_the_old_one_kept_until_then(self):
-        actions = self.driver.run.tick(self.driver.now_ms)
-        self.assertEqual([type(item) for item in actions], [CopyRun])
-        self.driver.run.copied(1, None, self.driver.now_ms)
-        resumed = self.driver.fail_attempt(1)[0]
-        self.assertEqual(resumed.upstream, self.sent.copy_to)
-
-    def test_an_earlier_run_is_resumed_from_its_copy(self):
-        copy = CopySource(self.sent.copy_to, self.sent.copy_to, "id-1")
-        run = self.driver.run
-        other = StreamRun(
-            run.request,
-            run.route,
-            ENGINES,
-            self.driver.placement,
-            run.budget,
-            25_000.0,
-            find_copy=lambda now_ms: copy,
-        )
-        self.assertEqual(other.start(self.driver.now_ms)[0].copy_from, copy)
-
-
 class EndTests(unittest.TestCase):
     def test_disconnect_abandons_the_attempt(self):
         driver = Driver()
