--- a/packages/daemon/bronzeline_daemon/forwarding/read_limit.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/read_limit.py
@@ -6,7 +6,7 @@
 
 __all__ = ["ReadLimit"]
 
-# Parsing chunks of one byte takes 8 us a byte; the loop must not stall for 50 ms.
+# Few enough that the loop does not stall while it parses the smallest chunks.
 MAX_BYTES_IN_TURN = 4 * 1024
 # A short response fits.
 MAX_BYTES_OF_CONNECTION = 2 * 1024
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -182,6 +182,16 @@
                 "Connections opened to upstreams.",
                 lambda: self.service.connection_pool.n_opened,
             ),
+            (
+                "reads_store",
+                "1 while this router reads the store itself.",
+                lambda: float(self.source.must_read_store(self.clock.now_ms())),
+            ),
+            (
+                "response_bytes",
+                "Bytes of upstreams' responses that are buffered.",
+                lambda: self.service.connection_pool.response_budget.n_bytes,
+            ),
             ("ready", "1 while callers are accepted.", lambda: float(self.is_ready)),
         ):
             metrics.gauge(name, text, read)
--- a/packages/daemon/bronzeline_daemon/forwarding/router_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router_directory.py
@@ -30,7 +30,7 @@
 LIST_INTERVAL_S = 4.0
 # Each level of the tree adds up to this interval until a new router is known.
 ASK_INTERVAL_S = 2.0
-RETRY_S = 0.5
+RETRY_S = 0.75
 # After this many requests without a response the store is read.
 MAX_UNANSWERED = 3
 
@@ -117,7 +117,7 @@
                 return
             except StoreUnavailableError as error:
                 log_event("peers_not_listed", error=str(error))
-                await self._pause(1.5 * RETRY_S)
+                await self._pause(RETRY_S)
 
     async def _pause(self, pause_s: float) -> None:
         await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.2))
--- a/packages/kernel/bronzeline_kernel/forwarding/engine_pace.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/engine_pace.py
@@ -10,6 +10,16 @@
 # some tens of prompts.
 PROMPT_WEIGHT = 0.1
 GAP_WEIGHT = 0.02
+# Times and deviations in milliseconds until engines have been observed.
+FIRST_PROMPT_TOKEN_MS = 0.32
+FIRST_PROMPT_TOKEN_DEVIATION_MS = 0.08
+FIRST_FASTEST_TOKEN_MS = 0.2
+FIRST_PROMPT_MS = 1_600.0
+FIRST_PROMPT_DEVIATION_MS = 400.0
+FIRST_GAP_MS = 45.0
+FIRST_GAP_DEVIATION_MS = 15.0
+FIRST_RESUME_MS = 120.0
+FIRST_RESUME_DEVIATION_MS = 20.0
 # A value counts as at most this many times the mean, so that one stuck engine does
 # not pass for the pace of all.
 MAX_RATIO = 4.0
@@ -39,23 +49,29 @@
 
 @dataclass
 class EnginePace:
-    """Estimate the times of a service's engines from what a router sees.
+    """Estimate the times of a service's engines from what a router sees."""
 
-    The first values serve until engines have been observed.
-    """
-
-    # In milliseconds for each token of the prompt, with the usual waiting.
+    # For each token of the prompt, with the usual waiting.
     _per_prompt_token: Estimate = field(
-        default_factory=lambda: Estimate(0.32, 0.08, PROMPT_WEIGHT)
+        default_factory=lambda: Estimate(
+            FIRST_PROMPT_TOKEN_MS, FIRST_PROMPT_TOKEN_DEVIATION_MS, PROMPT_WEIGHT
+        )
     )
-    _fastest_per_prompt_token: float = 0.2
-    # In milliseconds for a whole prompt.
+    _fastest_per_prompt_token_ms: float = FIRST_FASTEST_TOKEN_MS
     _prompt: Estimate = field(
-        default_factory=lambda: Estimate(1_600.0, 400.0, PROMPT_WEIGHT)
+        default_factory=lambda: Estimate(
+            FIRST_PROMPT_MS, FIRST_PROMPT_DEVIATION_MS, PROMPT_WEIGHT
+        )
+    )
+    _gap: Estimate = field(
+        default_factory=lambda: Estimate(
+            FIRST_GAP_MS, FIRST_GAP_DEVIATION_MS, GAP_WEIGHT
+        )
     )
-    _gap: Estimate = field(default_factory=lambda: Estimate(45.0, 15.0, GAP_WEIGHT))
     _resume: Estimate = field(
-        default_factory=lambda: Estimate(120.0, 20.0, PROMPT_WEIGHT)
+        default_factory=lambda: Estimate(
+            FIRST_RESUME_MS, FIRST_RESUME_DEVIATION_MS, PROMPT_WEIGHT
+        )
     )
 
     def record_prompt(self, n_tokens: int, took_ms: float) -> None:
@@ -65,8 +81,8 @@
         per_token_ms = took_ms / n_tokens
         self._prompt.record(took_ms)
         self._per_prompt_token.record(per_token_ms)
-        slower_ms = (1.0 + FASTEST_RISE) * self._fastest_per_prompt_token
-        self._fastest_per_prompt_token = min(per_token_ms, slower_ms)
+        slower_ms = (1.0 + FASTEST_RISE) * self._fastest_per_prompt_token_ms
+        self._fastest_per_prompt_token_ms = min(per_token_ms, slower_ms)
 
     def record_gap(self, gap_ms: float) -> None:
         """Record the time between two events of a stream."""
@@ -87,7 +103,7 @@
 
     def fastest_prompt_ms(self, n_tokens: float) -> float:
         """Return how long a prompt of this length takes at least."""
-        return n_tokens * self._fastest_per_prompt_token
+        return n_tokens * self._fastest_per_prompt_token_ms
 
     def longest_gap_ms(self) -> float:
         """Return a time that few gaps between events exceed."""
--- a/packages/kernel/bronzeline_kernel/forwarding/proof_source.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/proof_source.py
@@ -105,10 +105,10 @@
     def retry_pause_ms(self, n_failures: int, now_ms: float) -> float | None:
         """Return the pause before the next read of a store that does not respond.
 
-        None means that this router reads for others and retries at once.
+        None means that this router reads for its zone and retries at once.
         """
-        parent = self.parent(now_ms)
-        if parent is None or self._is_first_of_zone(parent):
+        self.parent(now_ms)
+        if self._is_first_of_zone():
             return None
         doubled_ms = self.options.first_retry_ms * 2.0 ** max(0, n_failures - 1)
         return min(self.options.max_retry_ms, doubled_ms)
@@ -173,13 +173,15 @@
         return now_ms - self.started_at_ms < self.options.start_grace_ms
 
     def _max_age_ms(self) -> float:
-        parent = self._parent
-        if parent is not None and not self._is_first_of_zone(parent):
-            return self.options.max_age_ms
-        return self.options.first_of_zone_max_age_ms
+        if self._is_first_of_zone():
+            return self.options.first_of_zone_max_age_ms
+        return self.options.max_age_ms
 
-    def _is_first_of_zone(self, parent: RouterEntry) -> bool:
-        """Return whether this router asks a parent in another zone for its zone."""
+    def _is_first_of_zone(self) -> bool:
+        """Return whether this router gets the data for the others of its zone."""
+        parent = self._parent
+        if parent is None:
+            return True
         return parent.availability_zone != self.own.availability_zone
 
     def _avoid(self, peer: RouterEntry, now_ms: float) -> None:
--- a/packages/kernel/bronzeline_kernel/forwarding/response_budget.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/response_budget.py
@@ -10,8 +10,8 @@
 __all__ = ["ResponseBudget", "ResponseBuffer", "ResponseLimits"]
 
 BYTES_PER_MIB = 1024 * 1024
-# Shares of a VM's memory. Four kinds of connections have a budget each: to
-# upstreams for requests and for control, to the store and to peers.
+# Shares of a VM's memory for the responses to callers' requests. Connections to
+# the store and to peers, and control calls to engines, have the default limits.
 TOTAL_SHARE = 1 / 32
 PER_UPSTREAM_SHARE = 1 / 64
 
