--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
@@ -50,6 +50,7 @@
     caller: Caller
     number: int
     n_tokens_left: float
+    copy_to: str = ""
     next_event: int = 1
     event_due_ms: float = 0.0
 
@@ -63,6 +64,8 @@
     runs: list[EngineRun] = field(default_factory=list)
     n_tokens_read: float = 0.0
     is_lost: bool = False
+    # The callers whose runs' memory this engine keeps.
+    copies: list[Caller] = field(default_factory=list)
 
     def step(self, now_ms):
         if self.is_lost:
@@ -125,6 +128,7 @@
         self.perform(self.run.tick(now_ms), now_ms)
 
     def on_event(self, engine_run, now_ms):
+        self.player.copy(engine_run)
         event_id = engine_run.next_event
         engine_run.next_event += 1
         if self.run.accept_event(engine_run.number, event_id, now_ms):
@@ -139,6 +143,9 @@
                 case Send(number, upstream):
                     self.n_sent += 1
                     run = EngineRun(self, number, self.n_prompt_tokens)
+                    run.copy_to = action.copy_to.upstream_id if action.copy_to else ""
+                    if action.copy_from is not None:
+                        self.player.resume_from_copy(run, upstream.upstream_id)
                     run.next_event = action.after_event + 1
                     self.player.open(run, upstream.upstream_id)
                 case Abandon(number):
@@ -220,6 +227,21 @@
         else:
             engine.runs.append(engine_run)
 
+    def copy(self, engine_run):
+        """Send a run's memory to its keeper, as engines do with each event."""
+        keeper = self.engines.get(engine_run.copy_to)
+        if keeper is None or keeper.is_lost:
+            return
+        if not any(caller is engine_run.caller for caller in keeper.copies):
+            keeper.copies.append(engine_run.caller)
+
+    def resume_from_copy(self, engine_run, upstream_id):
+        """Leave nothing to read for a run whose memory the engine keeps."""
+        copies = self.engines[upstream_id].copies
+        if any(caller is engine_run.caller for caller in copies):
+            engine_run.n_tokens_left = 0.0
+            engine_run.event_due_ms = self.now_ms + self.speed.event_gap_ms
+
     def lose(self, upstream_id):
         """End an engine together with its runs."""
         engine = self.engines[upstream_id]
