Try calls elsewhere after an upstream's own failure, and avoid upstreams that often fail

Cause: a response of 500 counted as a success. An upstream that failed a share of its calls at once had little load and drew most of them, and a call that may run again ended with the first failure.

Change: CallRun.failed keeps the response and tries another upstream, within attempts, time and budget; the caller gets the kept response if no other attempt is answered. A decaying share of failure responses adds to the cost of calls. A 504 doesn't count, as it says only that the time was used up.

--- a/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
@@ -8,6 +8,7 @@
 from bronzeline_kernel.forwarding import (
     CallerRequest,
     CallRun,
+    Fault,
     ResponseHead,
     WorkspaceKeys,
 )
@@ -40,7 +41,13 @@
 
     def on_complete(self, number: int) -> None:
         """Report to the state machine that an attempt's response is complete."""
-        self.perform(self._run.answered(number, self.now_ms()))
+        head = self.head_of(number)
+        assert head is not None
+        if not head.is_failure:
+            self.perform(self._run.answered(number, self.now_ms()))
+            return
+        self.log_lost(number, Fault.FAILED)
+        self.perform(self._run.failed(number, self.now_ms()))
 
     def finish(self, number: int) -> None:
         """Send the buffered response to the caller."""
--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -51,6 +51,9 @@
     n_reached: int = 0
     n_unreachable: int = 0
     may_have_run: bool = False
+    # The attempt whose response, an upstream's own failure, the caller gets if no
+    # other attempt does better.
+    _failed_number: int | None = None
     _open: dict[int, ListedUpstream] = field(default_factory=dict)
     _tried: set[Incarnation] = field(default_factory=set)
 
@@ -64,12 +67,31 @@
         """Handle a complete response: pass it to the caller, abandon other attempts."""
         if self.is_over or number not in self._open:
             return []
+        health = self.placement.health
         upstream = self._open[number]
-        self.placement.health.record_success(upstream.incarnation, now_ms)
+        health.record_success(upstream.incarnation, now_ms)
+        health.record_response(upstream.incarnation, now_ms, is_failure=False)
+        return self._finish(number)
+
+    def failed(self, number: int, now_ms: float) -> list[Action]:
+        """Handle a complete response that reports the upstream's own failure.
+
+        A call that may run again is tried elsewhere; its caller gets this response
+        if no other attempt is answered.
+        """
+        if self.is_over or number not in self._open:
+            return []
+        health = self.placement.health
+        upstream = self._open[number]
+        health.record_success(upstream.incarnation, now_ms)
+        health.record_response(upstream.incarnation, now_ms, is_failure=True)
+        if not self.route.is_repeatable:
+            return self._finish(number)
+        self._failed_number = number
+        self.may_have_run = True
         self._release(number)
-        others = self._abandon_all()
-        self.is_over = True
-        return [Finish(number), *others]
+        self._tried.add(upstream.incarnation)
+        return self._go_on(Fault.FAILED, now_ms)
 
     def lost(self, number: int, fault: Fault, now_ms: float) -> list[Action]:
         """Handle a failed attempt: wait for the other one, retry or fail."""
@@ -84,11 +106,7 @@
             self.n_unreachable += 1
         if not fault.is_not_run:
             self.may_have_run = True
-        if self._open:
-            return []
-        if self._may_retry(fault, now_ms):
-            return self._send(now_ms)
-        return self._fail_lost(fault)
+        return self._go_on(fault, now_ms)
 
     def tick(self, now_ms: float) -> list[Action]:
         """Send a hedge or time out the call when either is due."""
@@ -108,6 +126,19 @@
         self.is_over = True
         return self._abandon_repeatable()
 
+    def _go_on(self, fault: Fault, now_ms: float) -> list[Action]:
+        """Wait for the other attempt, retry, or end the call."""
+        if self._open:
+            return []
+        if self._may_retry(fault, now_ms):
+            return self._send(now_ms)
+        return self._fail_lost(fault)
+
+    def _finish(self, number: int) -> list[Action]:
+        self._release(number)
+        self.is_over = True
+        return [Finish(number), *self._abandon_repeatable()]
+
     def _hedge_after_ms(self) -> float:
         return self.route.target_latency_ms * self.options.hedge_after_share
 
@@ -166,6 +197,8 @@
     def _fail(
         self, failure: Failure, reason: str, retry_after_ms: float = 0.0
     ) -> list[Action]:
+        if self._failed_number is not None:
+            return self._finish(self._failed_number)
         self.is_over = True
         return [*self._abandon_repeatable(), Fail(failure, reason, retry_after_ms)]
 
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -59,6 +59,10 @@
     slowness_half_life_ms: float = 5_000.0
     # Weight of a new measurement in the moving average.
     slowness_weight: float = 0.6
+    # The share of failure responses follows about this part of a new response, and
+    # halves while there are none, so that the upstream gets another try.
+    response_weight: float = 0.1
+    response_half_life_ms: float = 5_000.0
     # An upstream is reported as slow once its prompts take longer than usual by
     # this share, which adds as much to its cost as half a prompt.
     slow_from: float = 0.5
@@ -75,6 +79,8 @@
     last_alive_at_ms: float = field(default=float("-inf"))
     slowness: float = 0.0
     slowness_at_ms: float = 0.0
+    failed_share: float = 0.0
+    responded_at_ms: float = 0.0
 
 
 class UpstreamHealth:
@@ -97,6 +103,27 @@
         record.avoid_until_ms = 0.0
         record.last_alive_at_ms = now_ms
 
+    def record_response(
+        self, upstream: Incarnation, now_ms: float, *, is_failure: bool
+    ) -> None:
+        """Update the share of responses that report the upstream's own failure."""
+        record = self._get_record(upstream)
+        previous = self.failed_share(upstream, now_ms)
+        value = 1.0 if is_failure else 0.0
+        weight = self._options.response_weight
+        record.failed_share = weight * value + (1.0 - weight) * previous
+        record.responded_at_ms = now_ms
+
+    def failed_share(self, upstream: Incarnation, now_ms: float) -> float:
+        """Return the recent share of responses that report a failure."""
+        record = self._records.get(upstream)
+        if record is None or not record.failed_share:
+            return 0.0
+        age_ms = max(0.0, now_ms - record.responded_at_ms)
+        return record.failed_share * math.exp2(
+            -age_ms / self._options.response_half_life_ms
+        )
+
     def record_connection(self, upstream: Incarnation, now_ms: float) -> None:
         """Record that an upstream accepted a connection."""
         self._get_record(upstream).last_alive_at_ms = now_ms
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -313,12 +313,13 @@
     def _call_cost(self, upstream: ListedUpstream, now_ms: float) -> float:
         options = self.options
         load = self.load(upstream.upstream_id)
-        score = self.health.failure_score(upstream.incarnation, now_ms)
+        n_failures = self.health.failure_score(upstream.incarnation, now_ms)
+        n_failures += self.health.failed_share(upstream.incarnation, now_ms)
         is_elsewhere = upstream.availability_zone != self.own_zone
         is_suspect = self._is_zone_suspect(upstream, now_ms)
         return (
             load.n_calls * options.call_ms
-            + score * options.call_failure_ms
+            + n_failures * options.call_failure_ms
             + (options.other_zone_call_ms if is_elsewhere else 0.0)
             + (options.suspect_zone_call_ms if is_suspect else 0.0)
         )
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -28,6 +28,8 @@
     "WireFormat",
 ]
 
+GATEWAY_TIMEOUT = 504
+
 
 @dataclass(frozen=True)
 class ConfigReading:
@@ -123,6 +125,14 @@
         """Return whether the status is a success (2xx)."""
         return 200 <= self.status < 300
 
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the upstream reports a failure of its own.
+
+        A 504 only says that the time of the request was used up.
+        """
+        return self.status >= 500 and self.status != GATEWAY_TIMEOUT
+
 
 class WireFormat(Protocol):
     """Translate requests and responses to and from the platform's HTTP format."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
@@ -106,6 +106,57 @@
         self.assertEqual(run.lost(1, Fault.BROKEN, 10.0)[0].reason, "broken")
 
 
+class FailureResponseTests(unittest.TestCase):
+    """An upstream's own failure goes to the caller only if no other one does better."""
+
+    @params((ORDER, [Finish(1)]), (STATUS, [Send]))
+    def test_only_a_repeatable_call_is_tried_elsewhere(self, call_route, expected):
+        run, first = call(call_route)
+        actions = run.failed(1, 10.0)
+        if expected == [Send]:
+            self.assertNotEqual(actions[0].upstream, first[0].upstream)
+            self.assertEqual(run.answered(2, 20.0), [Finish(2)])
+        else:
+            self.assertEqual(actions, expected)
+        self.assertTrue(run.is_over)
+
+    @params("failed", "lost", "deadline")
+    def test_caller_gets_the_failure_when_the_retry_fails_too(self, end):
+        run, _ = call(STATUS)
+        run.failed(1, 10.0)
+        actions = {
+            "failed": lambda: run.failed(2, 20.0),
+            "lost": lambda: run.lost(2, Fault.BROKEN, 20.0),
+            "deadline": lambda: run.tick(DEADLINE_MS),
+        }[end]()
+        kept = Finish(2) if end == "failed" else Finish(1)
+        self.assertEqual(actions[0], kept)
+        self.assertEqual(actions[1:], [Abandon(2)] if end == "deadline" else [])
+
+    def test_without_budget_the_failure_is_final(self):
+        run, _ = call(STATUS, budget=0.0)
+        self.assertEqual(run.failed(1, 10.0), [Finish(1)])
+
+    def test_failure_of_one_of_two_attempts_leaves_the_other(self):
+        run, _ = call(STATUS)
+        run.tick(130.0)
+        self.assertEqual(run.failed(1, 140.0), [])
+        self.assertEqual(run.answered(2, 150.0), [Finish(2)])
+
+    @params((0.0, 0), (0.4, 3))
+    def test_calls_avoid_an_upstream_that_often_fails(self, failed_share, least):
+        """Load: one upstream of three fails a share of its calls, and at once."""
+        calls = placement(fleet(1, ORDERS))
+        own = calls.choose_for_call(ORDERS, 0.0).upstream
+        for number in range(20):
+            is_failure = number < 20 * failed_share
+            calls.health.record_response(own.incarnation, 0.0, is_failure=is_failure)
+        chosen = [calls.choose_for_call(ORDERS, 1.0).upstream for _ in range(3)]
+        self.assertGreaterEqual(sum(item != own for item in chosen), least)
+        later = calls.choose_for_call(ORDERS, 30_000.0).upstream
+        self.assertEqual(later, own)
+
+
 class TimeTests(unittest.TestCase):
     @params((STATUS, 126.0, True), (STATUS, 123.0, False), (ORDER, 1_000.0, False))
     def test_slow_repeatable_call_is_hedged_once(self, call_route, now_ms, expected):
