--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -44,12 +44,6 @@
 # A router that gets its data from a peer checks this often whether it must read
 # the store.
 IDLE_POLL_S = 0.1
-# While the store is unavailable, every other call gets this timeout, ten times
-# the latency of a slow store, so that a call without a response does not delay
-# recovery. The calls between use the store client's own timeout, in case the
-# store is even slower.
-SHORT_TIMEOUT_MS = 450.0
-
 OnConfig = Callable[[], None]
 # Called with the kind of object and the outcome of a call.
 OnCall = Callable[[str, str], None]
@@ -173,22 +167,15 @@
     async def _call_store(
         self, kind: str, work: Coroutine[None, None, WatchPosition]
     ) -> WatchPosition | None:
-        """Run a call; every other one gets a short timeout during an outage.
+        """Run a call; return None if it was cancelled for a new one.
 
-        Raises `StoreUnavailableError` on that timeout. Returns None if the call
-        was cancelled for a new one because the store is available again.
+        That happens once the store is available again.
         """
         state = self._states[kind]
-        state.has_short_timeout = (
-            self._watch_states.is_any_unavailable and not state.has_short_timeout
-        )
-        limit_s = SHORT_TIMEOUT_MS / 1000.0 if state.has_short_timeout else None
+        is_unsure = self._watch_states.may_get_no_response(kind)
         call = state.call = asyncio.create_task(work)
         try:
-            async with asyncio.timeout(limit_s):
-                return await call
-        except TimeoutError:
-            raise StoreUnavailableError("no response; store unavailable") from None
+            return await state.timeout.call(call, is_unsure=is_unsure)
         except asyncio.CancelledError:
             task = asyncio.current_task()
             if task is not None and task.cancelling():
@@ -299,6 +286,7 @@
             self._view.upstreams.store_recovered(self._clock.now_ms())
             log_event("store_regained", what=kind)
             self._cancel_stale_calls(state)
+        state.was_read = True
         state.is_unavailable = False
         state.n_failures = 0
 
--- a/packages/daemon/bronzeline_daemon/forwarding/router_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router_directory.py
@@ -8,6 +8,7 @@
 
 from bronzeline_daemon.forwarding.peer_documents import PeerDocuments
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
+from bronzeline_daemon.forwarding.store_timeout import StoreTimeout
 from bronzeline_daemon.futures import BackgroundTasks
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.exceptions import StoreUnavailableError, UpstreamError
@@ -30,6 +31,8 @@
 LIST_INTERVAL_S = 4.0
 # Each level of the tree adds up to this interval until a new router is known.
 ASK_INTERVAL_S = 2.0
+# A router can't be ready before it knows the others, so its first retry is soon.
+FIRST_RETRY_S = 0.25
 RETRY_S = 0.75
 # After this many requests without a response the store is read.
 MAX_UNANSWERED = 3
@@ -58,6 +61,9 @@
         self._clock = clock
         self._random = random
         self._n_unanswered = 0
+        self._timeout = StoreTimeout()
+        # Until the store responds for the first time, and after each failed call.
+        self._may_get_no_response = True
         self._task: asyncio.Task[None] | None = None
         self._fetches = BackgroundTasks()
         peers.listen(RouterListAsked, self._on_asked)
@@ -94,15 +100,22 @@
         A restarted router finds its entry, and all others that were running.
         """
         own = self._peers.own
-        entries = await self._store.list_routers()
+        entries = await self._read_entries()
         if own not in entries:
             await self._store.announce_router(own)
             await asyncio.sleep(ANNOUNCED_WAIT_S)
-            entries = await self._store.list_routers()
+            entries = await self._read_entries()
         self._replace(entries)
 
     async def _list_routers(self) -> None:
-        self._replace(await self._store.list_routers())
+        self._replace(await self._read_entries())
+
+    async def _read_entries(self) -> tuple[RouterEntry, ...]:
+        entries = await self._timeout.call(
+            self._store.list_routers(), is_unsure=self._may_get_no_response
+        )
+        self._may_get_no_response = False
+        return entries
 
     def _replace(self, entries: tuple[RouterEntry, ...]) -> None:
         if self._peers.peer_list.replace(entries):
@@ -111,13 +124,15 @@
 
     async def _retry(self, call: Callable[[], Awaitable[None]]) -> None:
         """Repeat a call until the store responds."""
+        pauses_s = iter((FIRST_RETRY_S,))
         while True:
             try:
                 await call()
                 return
             except StoreUnavailableError as error:
                 log_event("peers_not_listed", error=str(error))
-                await self._pause(RETRY_S)
+                self._may_get_no_response = True
+                await self._pause(next(pauses_s, RETRY_S))
 
     async def _pause(self, pause_s: float) -> None:
         await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.2))
--- a/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
+from bronzeline_daemon.forwarding.store_timeout import StoreTimeout
 from bronzeline_kernel.forwarding import ProofSource, RouterEntry
 
 __all__ = [
@@ -35,11 +36,13 @@
 
     # The peer to fetch newer data from; it does not fit into a datagram.
     peer_ahead: RouterEntry | None = None
+    # Whether the store ever responded to a call for this kind.
+    was_read: bool = False
     is_unavailable: bool = False
-    has_short_timeout: bool = False
     has_lost_history: bool = False
     n_failures: int = 0
     call: asyncio.Task[WatchPosition] | None = None
+    timeout: StoreTimeout = field(default_factory=StoreTimeout)
 
 
 class WatchStates:
@@ -55,6 +58,10 @@
         """Return whether the last call for any kind had no response."""
         return any(state.is_unavailable for state in self.by_kind.values())
 
+    def may_get_no_response(self, kind: str) -> bool:
+        """Return whether a call is sent without knowing that the store responds."""
+        return self.is_any_unavailable or not self.by_kind[kind].was_read
+
     def must_read(self, kind: str, now_ms: float) -> bool:
         """Return whether this router must read the store now.
 
