Refuse a stream at once whose answer can't end before its deadline

Change: AnswerPace learns the fewest events and the least time an event of recent answers; a stream whose prompt and rest can't end before its deadline by these is refused as not run. Retry-After is the time to its deadline, since before it a retry would have less time still.

--- a/packages/kernel/bronzeline_kernel/forwarding/engine_pace.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/engine_pace.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from bronzeline_kernel.forwarding.answer_pace import AnswerPace
+
 __all__ = ["EnginePace", "Estimate"]
 
 # Weight of a new value in the moving averages: they follow a change of pace within
@@ -68,6 +70,7 @@
             FIRST_GAP_MS, FIRST_GAP_DEVIATION_MS, GAP_WEIGHT
         )
     )
+    answers: AnswerPace = field(default_factory=AnswerPace)
     _resume: Estimate = field(
         default_factory=lambda: Estimate(
             FIRST_RESUME_MS, FIRST_RESUME_DEVIATION_MS, PROMPT_WEIGHT
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_attempt.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_attempt.py
@@ -24,6 +24,9 @@
     is_from_copy: bool = False
     copy_to: ListedUpstream | None = None
     has_events: bool = False
+    # The number and the time of the attempt's first event.
+    first_event: int = 0
+    first_event_at_ms: float = 0.0
     copy: CopySource | None = None
     copy_due_ms: float = 0.0
 
--- a/packages/kernel/bronzeline_kernel/forwarding/prompt_evidence.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_evidence.py
@@ -1,4 +1,4 @@
-"""Learn from the time to a stream's first event, and estimate it."""
+"""Learn from the times of a stream, and estimate them."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
-__all__ = ["PromptEvidence"]
+__all__ = ["StreamEvidence"]
 
 
 @dataclass(frozen=True)
-class PromptEvidence:
-    """Relate one request's prompt to the pace and the health of engines."""
+class StreamEvidence:
+    """Relate one stream's times to the pace and the health of engines."""
 
     request: CallerRequest
     service: str
@@ -39,6 +39,17 @@
         self.placement.health.record_prompt_time(incarnation, took_ms, usual_ms, now_ms)
         pace.record_prompt(n_unread_tokens, took_ms)
 
+    def record_answer(self, attempt: Attempt, last_event: int) -> None:
+        """Record the length of a complete answer, and how fast its events came."""
+        n_timed_events = last_event - attempt.first_event
+        took_ms = attempt.progress_at_ms - attempt.first_event_at_ms
+        answers = self.placement.pace(self.service).answers
+        answers.record(last_event, n_timed_events, took_ms)
+
+    def shortest_rest_ms(self, after_event: int) -> float:
+        """Return how long the events after this one take at least."""
+        return self.placement.pace(self.service).answers.shortest_rest_ms(after_event)
+
     def fastest_read_ms(self, upstream: ListedUpstream, now_ms: float) -> float:
         """Return how long an upstream takes at least to read the prompt."""
         n_unread_tokens = self._n_unread_tokens(upstream, now_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -24,9 +24,9 @@
     Send,
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
-from bronzeline_kernel.forwarding.prompt_evidence import PromptEvidence
 from bronzeline_kernel.forwarding.prompt_index import Prompt
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
+from bronzeline_kernel.forwarding.stream_evidence import StreamEvidence
 from bronzeline_kernel.forwarding.stream_limits import stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
@@ -70,6 +70,8 @@
     def start(self, now_ms: float) -> list[Action]:
         """Resume from an earlier run's copy, search for one, or send the prompt."""
         self.budget.earn()
+        if self._is_too_late(0.0, now_ms):
+            return self._fail_too_late("too little time for the answer", now_ms)
         actions = self._resume_earlier_run(now_ms)
         if actions:
             return actions
@@ -101,6 +103,7 @@
             self.placement.pace(self.service).record_gap(gap_ms)
         else:
             attempt.has_events = True
+            attempt.first_event, attempt.first_event_at_ms = event_id, now_ms
             self._evidence().record_first_event(attempt, now_ms)
             self.placement.load(attempt.upstream.upstream_id).n_prompts -= 1
         self.placement.health.record_success(attempt.upstream.incarnation, now_ms)
@@ -117,8 +120,10 @@
 
     def ended(self, number: int) -> list[Action]:
         """Complete the stream with the response of an attempt."""
-        if not self._is_current(number):
+        attempt = self.attempt
+        if not self._is_current(number) or attempt is None:
             return []
+        self._evidence().record_answer(attempt, self.last_event)
         drops = self._drop_copy()
         self._release()
         self.is_over = True
@@ -368,17 +373,18 @@
             choice = choose(self.service, now_ms, (), prompt)
         if choice is None:
             return self._fail_not_served("no upstream")
-        if not self.n_sent and self._would_miss_deadline(choice.upstream, now_ms):
-            return self._fail_not_served("too little time for the prompt")
+        read_ms = self._evidence().fastest_read_ms(choice.upstream, now_ms)
+        if not self.n_sent and self._is_too_late(read_ms, now_ms):
+            return self._fail_too_late("too little time for the prompt", now_ms)
         return [self._send(choice.upstream, now_ms, choice=choice)]
 
-    def _evidence(self) -> PromptEvidence:
-        return PromptEvidence(self.request, self.service, self.placement, self.options)
+    def _evidence(self) -> StreamEvidence:
+        return StreamEvidence(self.request, self.service, self.placement, self.options)
 
-    def _would_miss_deadline(self, upstream: ListedUpstream, now_ms: float) -> bool:
-        """Return whether the deadline passes before the prompt can be read."""
-        read_ms = self._evidence().fastest_read_ms(upstream, now_ms)
-        return now_ms + read_ms >= self.deadline_ms
+    def _is_too_late(self, read_ms: float, now_ms: float) -> bool:
+        """Return whether the deadline passes before a prompt and its answer can end."""
+        rest_ms = self._evidence().shortest_rest_ms(self.last_event)
+        return now_ms + read_ms + rest_ms >= self.deadline_ms
 
     def _send(
         self,
@@ -459,6 +465,10 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
         return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
 
+    def _fail_too_late(self, reason: str, now_ms: float) -> list[Action]:
+        """Refuse the request; before its deadline a retry would have less time."""
+        return self._fail(Failure.NOT_RUN, reason, self.deadline_ms - now_ms)
+
     def _fail(
         self, failure: Failure, reason: str, retry_after_ms: float = 0.0
     ) -> list[Action]:
