Trust the shortest answer only after ten answers

Cause: with n answers of varying length the next one is shorter than all of them once in n + 1 cases, so five answers would refuse one stream in six wrongly.

--- a/packages/kernel/bronzeline_kernel/forwarding/answer_pace.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/answer_pace.py
@@ -6,8 +6,8 @@
 
 __all__ = ["AnswerPace"]
 
-# Fewer answers don't tell how short answers may be.
-MIN_ANSWERS = 5
+# The shortest of fewer answers is often undercut by the next one.
+MIN_ANSWERS = 10
 # With fewer events the mean time between them says little.
 MIN_TIMED_EVENTS = 10
 # The lowest values are raised by this share with each higher one, so that they
