Ask routers that never respond ever more seldom for proofs

Cause: entries of VMs that were replaced under another name stay in the list of routers. Each dead one that comes before a router in the tree cost it 0.3 s without a parent in each 5 s, so a few of them would make many routers read the store.

Change: PeerAvoidance doubles the time for which a peer is avoided, up to 60 s, and shortens it once the peer is heard from or has a recent proof.

The entries themselves are still never removed.

--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -73,6 +73,7 @@
 
     def _on_proof_asked(self, request: ProofAsked, peer: RouterEntry) -> None:
         now_ms = self._clock.now_ms()
+        self._proof_source.heard_from(peer.router_id, now_ms)
         age_ms = self._view.lease.age_ms(now_ms)
         if not self._view.upstreams.is_loaded:
             age_ms = float("inf")
--- a/packages/kernel/bronzeline_kernel/forwarding/proof_source.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/proof_source.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from bronzeline_kernel.forwarding.peer_avoidance import PeerAvoidance
 from bronzeline_kernel.forwarding.peer_messages import RouterEntry
 from bronzeline_kernel.forwarding.proof_tree import find_parent
 
@@ -33,8 +34,9 @@
     requests_per_peer: int = 3
     max_pending_requests: int = 8
     # A peer that does not respond, or has no recent proof though the store can be
-    # read, is not asked for this long.
+    # read, is not asked for this long, and for longer each time in a row.
     avoid_ms: float = 5_000.0
+    max_avoid_ms: float = 60_000.0
     # All routers may start together; until then their peers may not respond yet.
     start_grace_ms: float = 1_000.0
     # While the store does not respond, routers whose parent is alive read it
@@ -75,22 +77,31 @@
     started_at_ms: float
     _peers: tuple[RouterEntry, ...] | None = None
     _parent: RouterEntry | None = None
-    _avoided_until_ms: dict[str, float] = field(default_factory=dict)
+    _avoidance: PeerAvoidance = field(init=False)
     _n_unanswered: int = 0
     _number: int = 0
     _sent_at_ms: dict[int, float] = field(default_factory=dict)
     _last_sent_at_ms: float = float("-inf")
     _proven_at_ms: float = float("-inf")
 
+    def __post_init__(self) -> None:
+        options = self.options
+        self._avoidance = PeerAvoidance(options.avoid_ms, options.max_avoid_ms)
+
     def set_peers(self, peers: Iterable[RouterEntry], now_ms: float) -> None:
         """Replace the list of the other routers, after all of them were announced."""
         self._peers = tuple(peers)
-        self._update_parent(now_ms)
+        self._avoidance.keep_only({item.router_id for item in self._peers})
+        self._update_parent()
+
+    def heard_from(self, router_id: str, now_ms: float) -> None:
+        """Record that a peer is alive."""
+        self._avoidance.heard_from(router_id, now_ms)
 
     def parent(self, now_ms: float) -> RouterEntry | None:
         """Return the router to ask for data, None for the root."""
-        if any(until_ms <= now_ms for until_ms in self._avoided_until_ms.values()):
-            self._update_parent(now_ms)
+        if self._avoidance.drop_expired(now_ms):
+            self._update_parent()
         return self._parent
 
     def must_read_store(self, now_ms: float) -> bool:
@@ -157,6 +168,9 @@
             return None
         proven_at_ms = sent_at_ms - age_ms
         self._proven_at_ms = max(self._proven_at_ms, proven_at_ms)
+        parent = self._parent
+        if parent is not None and now_ms - proven_at_ms < self._max_age_ms():
+            self.heard_from(parent.router_id, now_ms)
         return proven_at_ms
 
     def _is_request_due(self, now_ms: float) -> bool:
@@ -185,19 +199,14 @@
         return parent.availability_zone != self.own.availability_zone
 
     def _avoid(self, peer: RouterEntry, now_ms: float) -> None:
-        self._avoided_until_ms[peer.router_id] = now_ms + self.options.avoid_ms
-        self._update_parent(now_ms)
-
-    def _update_parent(self, now_ms: float) -> None:
-        self._avoided_until_ms = {
-            router_id: until_ms
-            for router_id, until_ms in self._avoided_until_ms.items()
-            if until_ms > now_ms
-        }
+        self._avoidance.avoid(peer.router_id, now_ms)
+        self._update_parent()
+
+    def _update_parent(self) -> None:
         usable = [
             item
             for item in self._peers or ()
-            if item.router_id not in self._avoided_until_ms
+            if not self._avoidance.is_avoided(item.router_id)
         ]
         parent = find_parent(self.own, usable)
         if parent != self._parent:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/proof_source_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/proof_source_tests.py
@@ -148,6 +148,33 @@
         later_ms = 3.0 * STARTED_MS + OPTIONS.avoid_ms
         self.assertEqual(prove(follower, later_ms), "b-1")
 
+    def test_a_parent_that_never_responds_is_asked_ever_more_seldom(self):
+        """Its VM was replaced under another name; the next router responds."""
+        follower = source()
+        asked = []
+        now_ms = STARTED_MS
+        while now_ms < STARTED_MS + 60_000.0:
+            request = follower.next_request(now_ms)
+            if request is not None:
+                asked.append(request.peer.router_id)
+                if request.peer.router_id != "b-1":
+                    follower.accept_proof(request.number, 0.0, now_ms + RESPONSE_MS)
+            now_ms += OPTIONS.unanswered_interval_ms
+        n_rounds = asked.count("b-1") / OPTIONS.requests_per_peer
+        self.assertLessEqual(n_rounds, 4.0)
+        self.assertGreater(asked.count("a-1"), 150)
+
+    @params((False, "a-1"), (True, "b-1"))
+    def test_a_parent_that_is_heard_from_is_soon_asked_again(self, is_heard, expected):
+        follower = source()
+        for at_ms in (STARTED_MS, STARTED_MS + 2.0 * OPTIONS.avoid_ms):
+            ask_unanswered(follower, at_ms, 4)
+        heard_ms = STARTED_MS + 2.0 * OPTIONS.avoid_ms + 500.0
+        if is_heard:
+            follower.heard_from("b-1", heard_ms)
+        parent = follower.parent(heard_ms + OPTIONS.avoid_ms)
+        self.assertEqual(parent.router_id, expected)
+
     def test_no_parent_is_avoided_while_routers_start(self):
         follower = source()
         asked = ask_unanswered(follower, 0.0, 8)
