See a second state of one router, and release a grant that comes with the time-out

Two faults noted while reading. A router may hold two states of a generation and sends both; the question for them ended at the first if it was unusable and the last response, so the generation was lost though its state was there. It now waits 20 ms more. A grant for a look-up that came in the same turn of the event loop as the time-out was never released, or its callback raised InvalidStateError; the future is no longer cancelled, and is read after the time-out.

--- a/packages/daemon/bronzeline_daemon/generations/replication.py
+++ b/packages/daemon/bronzeline_daemon/generations/replication.py
@@ -25,6 +25,8 @@
 
 FLUSH_AFTER_S = 0.003
 ANSWER_TIMEOUT_S = 0.3
+# A router that holds two states sends both at once, in two messages.
+SECOND_STATE_WAIT_S = 0.02
 ROW_OVERHEAD_BYTES = 7
 
 OnReplicated = Callable[[str, int], None]
@@ -61,13 +63,17 @@
         self.is_answered = False
 
     def add_response(self, router_id: str, state: GenerationState | None) -> None:
-        """Process a response; finish at the first usable state or the last response."""
+        """Process a response; finish at the first usable state.
+
+        Without one, finish soon after the last response.
+        """
         self._pending_ids.discard(router_id)
-        is_usable = state is not None and self._is_usable(state)
-        if is_usable:
+        if state is not None and self._is_usable(state):
             self._state = state
-        if is_usable or not self._pending_ids:
             self.finish()
+        elif not self._pending_ids:
+            loop = asyncio.get_running_loop()
+            loop.call_later(SECOND_STATE_WAIT_S, self.finish)
 
     def finish(self) -> None:
         """Report the usable state, or None, once; later calls do nothing."""
--- a/packages/daemon/bronzeline_daemon/order_service/look_up.py
+++ b/packages/daemon/bronzeline_daemon/order_service/look_up.py
@@ -68,10 +68,11 @@
             deadline_at_ms=self._clock.now_ms() + TIMEOUT_MS,
         )
         self._dispatch.request(ticket, granted.set_result)
-        try:
-            async with asyncio.timeout(TIMEOUT_MS / 1000.0):
-                result = await granted
-        except TimeoutError:
+        # Does not cancel the future, so that a grant that comes in the same turn of
+        # the event loop as the timeout is still seen.
+        await asyncio.wait([granted], timeout=TIMEOUT_MS / 1000.0)
+        if not granted.done():
             self._dispatch.withdraw(ticket.ticket_id)
             return None
+        result = granted.result()
         return result if isinstance(result, Grant) else None
