Give the parts of the dispatcher the state that they need

Cause: placement, refusals, slot exchange, slot home and view imported the dispatcher back, whose parts they are; slot home and slot exchange also imported each other.

Change: DispatchState holds tickets, slots and evidence and collects the actions; SlotPeers holds the routers that slots are exchanged with; slow_delay_ms is a function of both its users. No decision changed.

Measured: imports_tests finds no circle among the kernel's modules, and failed with dispatcher, placement, refusals, slot_exchange, slot_home and view before; the 54 tests of routing, admission and planned stops pass.

--- a/packages/kernel/bronzeline_kernel/routing/view.py
+++ b/packages/kernel/bronzeline_kernel/routing/view.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from bronzeline_kernel.fleet import Upstream
+from bronzeline_kernel.routing.dispatch_state import DispatchState
 from bronzeline_kernel.routing.health import SLOW_RATIO
 
-if TYPE_CHECKING:
-    from bronzeline_kernel.routing.dispatcher import Dispatcher
-
 __all__ = ["UpstreamView", "describe_upstreams"]
 
 
@@ -27,18 +24,18 @@
     reason: str
 
 
-def describe_upstreams(dispatcher: Dispatcher) -> list[UpstreamView]:
+def describe_upstreams(state: DispatchState) -> list[UpstreamView]:
     """Describe each upstream and why it gets more or less work."""
-    return [_view(dispatcher, item) for item in dispatcher.upstreams.all()]
+    return [_view(state, item) for item in state.upstreams.all()]
 
 
-def _view(dispatcher: Dispatcher, upstream: Upstream) -> UpstreamView:
+def _view(state: DispatchState, upstream: Upstream) -> UpstreamView:
     upstream_id = upstream.upstream_id
-    now_ms = dispatcher.now_ms
-    ratio = dispatcher.health.ratio(upstream_id, now_ms)
-    is_down = dispatcher.health.is_down(upstream_id, now_ms)
-    is_leaving = dispatcher.upstreams.is_leaving(upstream_id)
-    ledger = dispatcher.slots.ledger
+    now_ms = state.now_ms
+    ratio = state.health.ratio(upstream_id, now_ms)
+    is_down = state.health.is_down(upstream_id, now_ms)
+    is_leaving = state.upstreams.is_leaving(upstream_id)
+    ledger = state.ledger
     return UpstreamView(
         upstream_id,
         ledger.n_used(upstream_id),
--- a/packages/kernel/bronzeline_kernel/tests/routing/dispatcher_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/routing/dispatcher_tests.py
@@ -173,7 +173,7 @@
         shares = {"w-0": WorkspaceShare(max_running=20)}
         for router in simulation.routers.values():
             router.handle(
-                OptionsUpdated(replace(router.options, shares=shares)),
+                OptionsUpdated(replace(router.state.options, shares=shares)),
                 simulation.now_ms,
             )
         simulation.run_until(6_000.0)
@@ -192,7 +192,7 @@
         simulation.run_until(6_100.0)
         simulation.restart_router("router-4")
         simulation.run_until(6_200.0)
-        ledger = simulation.routers["router-4"].slots.ledger
+        ledger = simulation.routers["router-4"].state.ledger
         self.assertEqual(len(ledger.allocated_ids()), len(simulation.engines))
 
     def test_a_draining_router_returns_its_slots(self):
@@ -200,7 +200,7 @@
         simulation.run_until(6_000.0)
         simulation.send("router-3", DrainStarted())
         simulation.run_until(6_500.0)
-        ledger = simulation.routers["router-3"].slots.ledger
+        ledger = simulation.routers["router-3"].state.ledger
         self.assertEqual(ledger.held(), {})
 
     def test_work_whose_engine_failed_precedes_new_work(self):
@@ -258,7 +258,9 @@
         )
         shares = dict(zip("abc", map(WorkspaceShare, weights), strict=True))
         router = simulation.routers["router-0"]
-        options = replace(router.options, shares=shares, first_token_target_ms=1e6)
+        options = replace(
+            router.state.options, shares=shares, first_token_target_ms=1e6
+        )
         simulation.run_until(4_000.0)
         simulation.send("router-0", OptionsUpdated(options))
         for number, name in enumerate(names):
--- a/packages/kernel/bronzeline_kernel/tests/routing/simulation.py
+++ b/packages/kernel/bronzeline_kernel/tests/routing/simulation.py
@@ -146,7 +146,7 @@
 
     def n_held(self, upstream_id):
         return sum(
-            self.routers[router_id].slots.ledger.n_held(upstream_id)
+            self.routers[router_id].state.ledger.n_held(upstream_id)
             for router_id in self._in_order()
         )
 
@@ -157,7 +157,7 @@
         return [
             waiter.ticket.ticket_id
             for router_id in self._in_order()
-            for waiter in self.routers[router_id].queue.waiters()
+            for waiter in self.routers[router_id].state.queue.waiters()
         ]
 
     def _push(self, at_ms, callback):
--- a/packages/standins/bronzeline_standins/tests/matrix/planned_stops_matrix_tests.py
+++ b/packages/standins/bronzeline_standins/tests/matrix/planned_stops_matrix_tests.py
@@ -49,7 +49,7 @@
                 simulation.random.random() < 0.2
             )
         elif fault == "home_dies":
-            homes = simulation.routers["router-0"].slots.home.home_ids()
+            homes = simulation.routers["router-0"].home_ids()
             victim = next(item for item in homes if item != ROUTER)
             simulation.kill_router(victim)
 
