Send a kept failure soon if the other attempt of the call is silent

The wait is new since calls are tried elsewhere after a failure.

Change: the failure is sent once half of the latency target has passed since, or 100 ms before the deadline.

Measured: the two new cases of call_run_tests fail before and pass.

--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -31,6 +31,8 @@
     hedge_after_share: float = 0.5
     # A full upstream frees a slot within one call of 45 ms; this is a few calls.
     retry_after_ms: float = 150.0
+    # A kept failure is sent this long before the deadline, to reach the caller in time.
+    last_response_ms: float = 100.0
     # Each unreachable upstream costs one connection attempt.
     max_unreachable: int = 4
 
@@ -54,6 +56,7 @@
     # The attempt whose response, an upstream's own failure, the caller gets if no
     # other attempt does better.
     _failed_number: int | None = None
+    _failed_at_ms: float = 0.0
     _open: dict[int, ListedUpstream] = field(default_factory=dict)
     _tried: set[Incarnation] = field(default_factory=set)
 
@@ -77,7 +80,7 @@
         """Handle a complete response that reports the upstream's own failure.
 
         A call that may run again is tried elsewhere; its caller gets this response
-        if no other attempt is answered.
+        if no other attempt is answered soon.
         """
         if self.is_over or number not in self._open:
             return []
@@ -88,6 +91,7 @@
         if not self.route.is_repeatable:
             return self._finish(number)
         self._failed_number = number
+        self._failed_at_ms = now_ms
         self.may_have_run = True
         self._release(number)
         self._tried.add(upstream.incarnation)
@@ -114,6 +118,10 @@
             return []
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
+        if self._failed_number is not None:
+            if self._is_failure_due(now_ms):
+                return self._finish(self._failed_number)
+            return []
         if now_ms - self.started_at_ms < self._hedge_after_ms():
             return []
         if len(self._open) != 1:
@@ -142,6 +150,13 @@
     def _hedge_after_ms(self) -> float:
         return self.route.target_latency_ms * self.options.hedge_after_share
 
+    def _is_failure_due(self, now_ms: float) -> bool:
+        """Return whether a kept failure must be sent instead of waiting longer."""
+        waited_ms = now_ms - self._failed_at_ms
+        left_ms = self.deadline_ms - now_ms
+        is_late = left_ms <= self.options.last_response_ms
+        return is_late or waited_ms >= self._hedge_after_ms()
+
     def _hedge_choice(self, now_ms: float) -> Choice | None:
         """Choose an upstream for a second, concurrent attempt, if one is allowed."""
         if not self.route.is_repeatable or self.n_reached >= self.route.max_attempts:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
@@ -143,6 +143,27 @@
         self.assertEqual(run.failed(1, 140.0), [])
         self.assertEqual(run.answered(2, 150.0), [Finish(2)])
 
+    @params((STATUS, True), (STATUS, False))
+    def test_caller_soon_gets_the_failure_if_the_other_attempt_is_silent(
+        self, call_route, is_hedge
+    ):
+        """The answer of the other one may be lost, and the caller has time left."""
+        run, _ = call(call_route)
+        if is_hedge:
+            run.tick(130.0)
+            failed, silent = 2, 1
+        else:
+            failed, silent = 1, 2
+        run.failed(failed, 140.0)
+        self.assertEqual(run.tick(260.0), [])
+        self.assertEqual(run.tick(270.0), [Finish(failed), Abandon(silent)])
+
+    def test_the_failure_is_sent_while_the_caller_still_waits(self):
+        run, _ = call(STATUS)
+        run.failed(1, DEADLINE_MS - 110.0)
+        self.assertEqual(run.tick(DEADLINE_MS - 101.0), [])
+        self.assertEqual(run.tick(DEADLINE_MS - 100.0)[0], Finish(1))
+
     @params((0.0, 0), (0.4, 3))
     def test_calls_avoid_an_upstream_that_often_fails(self, failed_share, least):
         """Load: one upstream of three fails a share of its calls, and at once."""
