--- a/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
@@ -65,12 +65,11 @@
     def must_read(self, kind: str, now_ms: float) -> bool:
         """Return whether this router must read the store now.
 
-        While the store does not respond, a router that reads for itself alone
-        tries it with one of the two kinds.
+        While the store does not respond, only the root tries it with both kinds.
         """
-        reads_for_others = self._proof_source.retry_pause_ms(1, now_ms) is None
+        is_root = self._proof_source.retry_pause_ms(1, now_ms) is None
         is_away = self.by_kind[CONFIG].is_unavailable
-        if kind == UPSTREAMS and is_away and not reads_for_others:
+        if kind == UPSTREAMS and is_away and not is_root:
             return False
         return self._proof_source.must_read_store(now_ms)
 
