--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_table_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_table_tests.py
@@ -9,7 +9,8 @@
     play,
 )
 
-# Nine in ten first events are wanted in time; the loads stay below capacity.
+# Nine in ten first events are wanted in time; but for crests of 3 s, the loads stay
+# below capacity.
 MIN_IN_TIME = 0.9
 
 
