--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -59,8 +59,8 @@
     slowness_half_life_ms: float = 5_000.0
     # Weight of a new measurement in the moving average.
     slowness_weight: float = 0.6
-    # The share of failure responses follows about this part of a new response, and
-    # halves while there are none, so that the upstream gets another try.
+    # Weight of a new response in the share of failures. The share halves in this time
+    # without responses, so that the upstream gets another try.
     response_weight: float = 0.1
     response_half_life_ms: float = 5_000.0
     # An upstream is reported as slow once its prompts take longer than usual by
