--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
@@ -185,6 +185,7 @@
 
     def __init__(self, speed, per_zone=2, seed=1, n_slots=64, make_placement=placement):
         self.speed = speed
+        self.n_slots = n_slots
         entries = fleet(per_zone)
         self.placement = make_placement(entries)
         self.engines = {item.upstream_id: Engine(speed, n_slots) for item in entries}
@@ -247,6 +248,11 @@
             engine_run.n_tokens_left = 0.0
             engine_run.event_due_ms = self.now_ms + self.speed.event_gap_ms
 
+    def add(self, entry):
+        """Start another engine, and list it."""
+        self.engines[entry.upstream_id] = Engine(self.speed, self.n_slots)
+        self.placement.upstreams.put(entry)
+
     def lose(self, upstream_id):
         """End an engine together with its runs."""
         engine = self.engines[upstream_id]
