--- a/packages/kernel/bronzeline_kernel/tests/forwarding/call_load_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/call_load_tests.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from bronzeline_kernel.forwarding import CallRun, Fault
 from bronzeline_kernel.tests.forwarding.call_load_player import (
     N_CALLS,
     N_FIRST_CALLS,
@@ -11,6 +12,7 @@
     STATUS,
     FailingUpstreamPlayer,
 )
+from bronzeline_kernel.tests.forwarding.samples import ORDERS
 
 
 class FailingUpstreamTests(unittest.TestCase):
@@ -29,3 +31,15 @@
         n_counted = N_CALLS - N_FIRST_CALLS
         self.assertEqual(outcomes.total(), n_counted)
         self.assertLessEqual(outcomes["failed"], most * n_counted)
+
+
+class LostAnswerTests(unittest.TestCase):
+    def test_one_lost_answer_does_not_make_the_zone_suspect(self):
+        """Load: an upstream loses a few answers in a hundred, and is alive."""
+        player = FailingUpstreamPlayer(ORDER, "", 0.0, seed=3)
+        reported = []
+        player.placement.health.on_zone_lost = reported.append
+        run = CallRun(ORDER, ORDERS, player.placement, player.budget, 2_000.0)
+        run.start(0.0)
+        run.lost(1, Fault.BROKEN, 50.0)
+        self.assertEqual(reported, [])
