Log the parts of a prompt, the events of a lost attempt and unblamed deaths

Cause: the lines of the incident of the deadly prompt part do not tell its three hypotheses apart. None names the parts of a request, whether a stream had begun to answer when its engine died, or which deaths were taken for the loss of a zone.

Change: attempt_sent names the parts that other requests may share, at most eight; attempt_lost says how many events the attempt had given; engine_death_not_blamed names engines whose death is counted against no request. No decision changes.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from bronzeline_kernel.forwarding import Choice, ListedUpstream, Send
+from bronzeline_kernel.forwarding import CallerRequest, Choice, ListedUpstream, Send
 
 __all__ = ["attempt_fields", "attempt_origin"]
 
+# Bounds a line; prompts consist of a few parts.
+MAX_LOGGED_PARTS = 8
 
-def attempt_fields(action: Send, n_retries_left: float) -> dict[str, object]:
+
+def attempt_fields(
+    request: CallerRequest, action: Send, n_retries_left: float
+) -> dict[str, object]:
     """Return the log fields that tell where an attempt goes, and why."""
     return {
         "number": action.number,
@@ -18,6 +23,7 @@
         "copy_to": _id_of(action.copy_to),
         "budget_left": round(n_retries_left, 1),
         **_choice_fields(action.choice),
+        **_part_fields(request),
     }
 
 
@@ -32,6 +38,12 @@
     return upstream.upstream_id if upstream else ""
 
 
+def _part_fields(request: CallerRequest) -> dict[str, object]:
+    """Return the parts of the prompt that other requests may share."""
+    part_ids = request.shared_part_ids[:MAX_LOGGED_PARTS]
+    return {"parts": ",".join(part_ids)} if part_ids else {}
+
+
 def _choice_fields(choice: Choice | None) -> dict[str, object]:
     """Return the log fields that explain why an upstream was chosen."""
     if choice is None:
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -169,6 +169,10 @@
     def on_process_stall(self) -> None:
         """Handle a pause in which this process or the caller did not read."""
 
+    def n_events(self, number: int) -> int:
+        """Return how many events the caller got from an attempt."""
+        return 0
+
     def silent_ms(self) -> int:
         """Return the time since the caller's last event, in milliseconds."""
         return round(self.now_ms() - (self._event_at_ms or self._started_at_ms))
@@ -202,7 +206,8 @@
         self._attempts[action.number] = attempt
         self.context.metrics.attempt_sent(attempt_origin(action))
         self._log.info(
-            "attempt_sent", **attempt_fields(action, self._machine.budget.n_left)
+            "attempt_sent",
+            **attempt_fields(self.request, action, self._machine.budget.n_left),
         )
         attempt.start()
 
@@ -251,6 +256,7 @@
             fault=fault.value,
             upstream_id=self._upstream_id,
             after_ms=round(self.now_ms() - self._started_at_ms),
+            n_events=self.n_events(number),
         )
         if fault is Fault.BROKEN:
             self._check_upstream_alive(self._attempts[number])
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -27,6 +27,7 @@
     CallerRequest,
     CallRun,
     EngineClient,
+    EngineLost,
     ForwardingSettings,
     ForwardingView,
     Placement,
@@ -94,6 +95,7 @@
         self.placement.health.on_belief = self._on_belief_changed
         self.placement.health.on_replaced = self._on_replaced
         self._quarantine.on_quarantined = self._on_quarantined
+        self._quarantine.on_zone_loss = self._on_zone_loss
         self._relay_context = RelayContext(
             clock,
             self.connection_pool,
@@ -172,6 +174,14 @@
             for_ms=round(quarantined.for_ms),
         )
 
+    def _on_zone_loss(self, lost: EngineLost) -> None:
+        self._logs.info(
+            "engine_death_not_blamed",
+            upstream_id=lost.upstream_id,
+            reason="other engines of its zone died at the same time",
+            n_requests=len(lost.ran_ms),
+        )
+
     def _lease_age_ms(self) -> int | None:
         age_ms = self._view.lease.age_ms(self._clock.now_ms())
         return round(age_ms) if math.isfinite(age_ms) else None
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -153,6 +153,10 @@
         assert head is not None
         self.response.send(head.status, head.headers, self.pop_buffer(number))
 
+    def n_events(self, number: int) -> int:
+        """Return how many events the caller got from an attempt."""
+        return self._run.n_events(number)
+
     def after_tick(self, now_ms: float) -> None:
         """Report a new copy to peers, and again before they expire it."""
         copy = self._run.copy(now_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -45,6 +45,8 @@
     prompt_parts: str = ""
     # Id of the part of the prompt that is not shared with other requests.
     unique_part_id: str = ""
+    # Ids of the parts before it, which other requests may share.
+    shared_part_ids: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
@@ -67,6 +67,7 @@
     options: RequestQuarantineOptions = field(default_factory=RequestQuarantineOptions)
     tracker: BlameTracker = field(default_factory=BlameTracker)
     on_quarantined: Callable[[QuarantinedRequest], None] = lambda quarantined: None
+    on_zone_loss: Callable[[EngineLost], None] = lambda lost: None
     _pending: list[PendingDeath] = field(default_factory=list)
 
     def engine_lost(self, lost: EngineLost, now_ms: float, is_own: bool) -> None:
@@ -89,6 +90,9 @@
         ]
         self._pending = [item for item in self._pending if item not in due]
         alone = [item for item in due if not item.is_zone_loss]
+        for item in due:
+            if item.is_zone_loss and item.is_own:
+                self.on_zone_loss(item.lost)
         for item in alone:
             ran_ms = item.lost.ran_ms
             self.tracker.engine_died(item.lost.upstream_id, ran_ms, item.at_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -118,6 +118,13 @@
         is_current = self.attempt is not None and self.attempt.number == number
         return is_current and event_id > self.last_event + 1
 
+    def n_events(self, number: int) -> int:
+        """Return how many events of the response an attempt has added."""
+        attempt = self.attempt
+        if not self._is_current(number) or attempt is None or not attempt.has_events:
+            return 0
+        return self.last_event - attempt.first_event + 1
+
     def ended(self, number: int) -> list[Action]:
         """Complete the stream with the response of an attempt."""
         attempt = self.attempt
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
@@ -64,6 +64,14 @@
         self.assertFalse(self.is_blocked("long"))
         self.assertEqual(self.announced, [])
 
+    def test_zone_losses_are_reported(self):
+        reported = []
+        self.quarantine.on_zone_loss = reported.append
+        deaths = lost("a1", "zone-a", "one"), lost("a2", "zone-a", "other")
+        self.record_deaths(*deaths)
+        self.record_deaths(lost("b1", "zone-b", "one"))
+        self.assertEqual(reported, list(deaths))
+
     def test_duplicate_reports_of_a_death_count_once(self):
         for number in range(2):
             death = lost(f"e{number}", f"z{number}", "killer")
