Refuse prompts by the part that ends engines

Cause: the quarantine knows requests by the hash of the whole request; what several requests have in common is not seen. Class of fault: evidence kept under a key that the fault does not have.

Change: PartBlame counts deaths against the parts of prompts that the engine had not begun to answer, and drops them when a prompt with the part is answered anywhere. A BlockList refuses requests with all keys of a block; parts that always came together are refused together only, until one of them is answered. Requests in the queue or on an engine without an event end at once. The request quarantine uses the same list. A request that is blocked already is no longer blocked anew with each death.

Why it works: the part ends each engine that begins to answer it, so an answer clears a part for good, and what is never answered and always present stays.

Ruled out: that deaths taken for the loss of a zone decide (32 of them, but two together count once now), and that announcements come too late (1.2 s).

--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -13,17 +13,20 @@
 from bronzeline_kernel.forwarding import (
     N_RUN_HOLDERS,
     Address,
+    BlocksChanged,
     EngineLost,
     ForwardingSettings,
     Incarnation,
     ListedUpstream,
     LoadByUpstream,
     LoadReport,
+    PartsAnswered,
     PeerList,
     Placement,
+    PromptLost,
     ProofAsked,
     ProofGiven,
-    RequestQuarantine,
+    Quarantine,
     RouterEntry,
     RouterListAsked,
     RouterListGiven,
@@ -56,8 +59,11 @@
 ZONE_LOST_INTERVAL_MS = 400.0
 
 MESSAGE_TYPES = (
+    BlocksChanged,
     EngineLost,
     LoadReport,
+    PartsAnswered,
+    PromptLost,
     ProofAsked,
     ProofGiven,
     RouterListAsked,
@@ -95,7 +101,7 @@
         settings: ForwardingSettings,
         placement: Placement,
         runs: RunDirectory,
-        quarantine: RequestQuarantine,
+        quarantine: Quarantine,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -212,8 +218,8 @@
                 # Its peers know of it, so that this router need not report it too.
                 self._zone_reported_at_ms[service, zone] = now_ms
                 self._placement.health.record_peer_zone_loss((service, zone), now_ms)
-            case EngineLost():
-                self._quarantine.engine_lost(message, now_ms, is_own=False)
+            case EngineLost() | PromptLost() | PartsAnswered() | BlocksChanged():
+                self._quarantine.receive(message, now_ms)
             case LoadReport(router_id, prompts, streams, copies):
                 load = LoadByUpstream(prompts, streams, copies)
                 self._placement.set_peer_load(router_id, load, now_ms)
@@ -262,15 +268,20 @@
         for peer in peers:
             self._transport.sendto(data, (peer.host, peer.peer_port))
 
+    def _report_quarantine(self) -> None:
+        now_ms = self._clock.now_ms()
+        for message in self._quarantine.tick(now_ms, len(self.peer_list)):
+            if isinstance(message, EngineLost):
+                log_event("engine_died", upstream_id=message.upstream_id)
+            self._send(message, self.peer_list.all)
+
     async def _report_load(self) -> None:
         """Report load to the zone, changed prompts and engine deaths to all zones."""
         previous = LoadByUpstream()
         n_unchanged = 0
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
-            for lost in self._quarantine.confirm_deaths(self._clock.now_ms()):
-                log_event("engine_died", upstream_id=lost.upstream_id)
-                self._send(lost, self.peer_list.all)
+            self._report_quarantine()
             load = self._placement.own_load()
             has_new_prompts = load.prompts != previous.prompts
             n_unchanged = n_unchanged + 1 if load == previous else 0
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -30,6 +30,7 @@
     FindEarlierRun,
     Finish,
     Probe,
+    PromptLost,
     ResponseHead,
     Send,
     WorkspaceKeys,
@@ -173,6 +174,10 @@
         """Return how many events the caller got from an attempt."""
         return 0
 
+    def unanswered_parts(self) -> tuple[str, ...]:
+        """Return the shared parts of a prompt that no upstream has answered yet."""
+        return ()
+
     def silent_ms(self) -> int:
         """Return the time since the caller's last event, in milliseconds."""
         return round(self.now_ms() - (self._event_at_ms or self._started_at_ms))
@@ -264,7 +269,9 @@
     def _check_upstream_alive(self, attempt: Attempt) -> None:
         """Probe whether the upstream died during an attempt, and record a death."""
         upstream = attempt.send.upstream
-        ran_ms = self.now_ms() - attempt.started_at_ms
+        died_at_ms = self.now_ms()
+        ran_ms = died_at_ms - attempt.started_at_ms
+        part_ids = self.unanswered_parts()
 
         def on_result(incarnation: tuple[str, int], is_alive: bool) -> None:
             if is_alive:
@@ -275,7 +282,15 @@
                 upstream.availability_zone,
                 {self._request_hash: ran_ms},
             )
-            self.context.quarantine.engine_lost(lost, self.now_ms(), is_own=True)
+            prompt = PromptLost(
+                upstream.upstream_id,
+                upstream.service,
+                upstream.availability_zone,
+                self._request_hash,
+                part_ids,
+                self.now_ms() - died_at_ms,
+            )
+            self.context.quarantine.engine_died(lost, prompt, self.now_ms())
             self.on_upstream_died()
 
         self.context.prober.probe(upstream, on_result)
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -13,7 +13,7 @@
 from bronzeline_daemon.forwarding.run_copier import RunCopier
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.admission import RetryBudget
-from bronzeline_kernel.forwarding import Action, Fault, RequestQuarantine, WireFormat
+from bronzeline_kernel.forwarding import Action, Fault, Quarantine, WireFormat
 from bronzeline_kernel.protocols import Clock
 
 __all__ = ["RelayContext", "RequestMachine", "RequestReport"]
@@ -63,6 +63,6 @@
     run_copier: RunCopier
     earlier_runs: EarlierRunFinder
     peers: ForwardingPeers
-    quarantine: RequestQuarantine
+    quarantine: Quarantine
     logs: LogLimiter
     metrics: ForwardingMetrics
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -22,19 +22,22 @@
 from bronzeline_kernel.forwarding import (
     Admitted,
     BeliefChange,
+    Block,
     BudgetShare,
     CallerLimits,
     CallerRequest,
     CallRun,
+    Conviction,
     EngineClient,
     EngineLost,
     ForwardingSettings,
     ForwardingView,
+    PartsAnswered,
     Placement,
+    Quarantine,
     QuarantinedRequest,
     Refusal,
     Refused,
-    RequestQuarantine,
     ResponseLimits,
     RunDirectory,
     StopPlan,
@@ -81,7 +84,7 @@
         self.placement = Placement(
             settings.availability_zone, view.upstreams, UpstreamHealth(), random
         )
-        self._quarantine = RequestQuarantine()
+        self._quarantine = Quarantine(random)
         self._runs = RunDirectory(view.upstreams)
         self.peers = ForwardingPeers(
             settings, self.placement, self._runs, self._quarantine, clock, random
@@ -94,8 +97,11 @@
         self._logs = LogLimiter(clock, settings.router_id)
         self.placement.health.on_belief = self._on_belief_changed
         self.placement.health.on_replaced = self._on_replaced
-        self._quarantine.on_quarantined = self._on_quarantined
-        self._quarantine.on_zone_loss = self._on_zone_loss
+        self._quarantine.requests.on_quarantined = self._on_quarantined
+        self._quarantine.requests.on_zone_loss = self._on_zone_loss
+        self._quarantine.on_convicted = self._on_parts_quarantined
+        self._quarantine.on_block_learned = self._on_block_learned
+        self._quarantine.on_answered = self._on_parts_answered
         self._relay_context = RelayContext(
             clock,
             self.connection_pool,
@@ -121,11 +127,10 @@
         now_ms = self._clock.now_ms()
         hash_of_request = request_hash(request)
         admitted = admit(self._view, request, now_ms, self.stop_plan)
-        if isinstance(admitted, Admitted) and self._quarantine.is_blocked(
-            hash_of_request, now_ms
-        ):
-            retry_after_ms = self._quarantine.retry_after_ms(hash_of_request, now_ms)
-            admitted = Refused(Refusal.QUARANTINED, "ends engines", retry_after_ms)
+        block = self._find_block(request, hash_of_request)
+        if isinstance(admitted, Admitted) and block is not None:
+            reason = f"ends engines: {' '.join(block.keys)}"
+            admitted = Refused(Refusal.QUARANTINED, reason, block.remaining_ms)
         if isinstance(admitted, Refused):
             self._refuse(request, hash_of_request, admitted, response)
         else:
@@ -174,6 +179,26 @@
             for_ms=round(quarantined.for_ms),
         )
 
+    def _on_parts_quarantined(self, conviction: Conviction) -> None:
+        self._logs.warn(
+            "parts_quarantined",
+            parts=",".join(conviction.part_ids),
+            upstream_ids=",".join(conviction.upstream_ids),
+            n_requests=conviction.n_requests,
+            source="own" if conviction.has_own else "peers",
+        )
+
+    def _on_block_learned(self, block: Block) -> None:
+        self._logs.warn(
+            "block_learned",
+            keys=",".join(block.keys),
+            is_lifted=block.is_lifted,
+            for_ms=round(block.remaining_ms),
+        )
+
+    def _on_parts_answered(self, answered: PartsAnswered) -> None:
+        self._logs.warn("parts_released", parts=",".join(answered.part_ids))
+
     def _on_zone_loss(self, lost: EngineLost) -> None:
         self._logs.info(
             "engine_death_not_blamed",
@@ -211,7 +236,12 @@
                 budget,
                 deadline_ms,
                 find_copy=lambda at_ms: self._runs.pop_copy(hash_of_request, at_ms),
-                is_blocked=lambda: self._is_blocked(hash_of_request),
+                is_blocked=lambda: (
+                    self._find_block(request, hash_of_request) is not None
+                ),
+                on_answered=lambda: self._quarantine.prompt_answered(
+                    request.shared_part_ids, self._clock.now_ms()
+                ),
             )
             relay: Relay = StreamRelay(
                 self._relay_context,
@@ -233,8 +263,9 @@
         self._logs.report_dropped()
         self.placement.prune(self._clock.now_ms())
 
-    def _is_blocked(self, hash_of_request: str) -> bool:
-        return self._quarantine.is_blocked(hash_of_request, self._clock.now_ms())
+    def _find_block(self, request: CallerRequest, hash_of_request: str) -> Block | None:
+        keys = self._quarantine.keys(request, hash_of_request)
+        return self._quarantine.find(keys, self._clock.now_ms())
 
     def _on_request_ended(self, kind: WorkKind, report: RequestReport) -> None:
         self.n_running -= 1
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -157,6 +157,10 @@
         """Return how many events the caller got from an attempt."""
         return self._run.n_events(number)
 
+    def unanswered_parts(self) -> tuple[str, ...]:
+        """Return the shared parts of a prompt that no upstream has answered yet."""
+        return () if self._run.is_answered else self.request.shared_part_ids
+
     def after_tick(self, now_ms: float) -> None:
         """Report a new copy to peers, and again before they expire it."""
         copy = self._run.copy(now_ms)
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/peers_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/peers_tests.py
@@ -5,7 +5,7 @@
 from bronzeline_daemon.forwarding.peers import ZONE_LOST_INTERVAL_MS, ForwardingPeers
 from bronzeline_daemon.message_codec import MessageCodec
 from bronzeline_kernel.forwarding import (
-    RequestQuarantine,
+    Quarantine,
     RouterEntry,
     RunDirectory,
     SocketAddress,
@@ -40,7 +40,7 @@
             settings,
             self.placement,
             RunDirectory(self.placement.upstreams),
-            RequestQuarantine(),
+            Quarantine(Random(1)),
             SimpleNamespace(now_ms=lambda: self.now_ms),
             Random(1),
         )
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -7,6 +7,12 @@
     admit,
 )
 from bronzeline_kernel.forwarding.adoption import AdoptionGuard, UpstreamIdentity
+from bronzeline_kernel.forwarding.block_list import (
+    Block,
+    BlockList,
+    part_key,
+    request_key,
+)
 from bronzeline_kernel.forwarding.budget_share import BudgetShare
 from bronzeline_kernel.forwarding.call_run import CallOptions, CallRun
 from bronzeline_kernel.forwarding.change_log import ChangeLog, UpstreamChange
@@ -45,6 +51,12 @@
     Probe,
     Send,
 )
+from bronzeline_kernel.forwarding.part_blame import (
+    Conviction,
+    PartBlame,
+    PartBlameOptions,
+    PromptLost,
+)
 from bronzeline_kernel.forwarding.peer_list import N_RUN_HOLDERS, PeerList
 from bronzeline_kernel.forwarding.peer_messages import (
     LoadReport,
@@ -83,6 +95,12 @@
     UpstreamListing,
     WireFormat,
 )
+from bronzeline_kernel.forwarding.quarantine import (
+    BlocksChanged,
+    PartsAnswered,
+    Quarantine,
+    QuarantineMessage,
+)
 from bronzeline_kernel.forwarding.request_quarantine import (
     EngineLost,
     QuarantinedRequest,
@@ -123,6 +141,9 @@
     "AdoptionGuard",
     "Belief",
     "BeliefChange",
+    "Block",
+    "BlockList",
+    "BlocksChanged",
     "BudgetShare",
     "CallOptions",
     "CallRun",
@@ -131,6 +152,7 @@
     "ChangeLog",
     "Choice",
     "ConfigReading",
+    "Conviction",
     "CopyRun",
     "CopySource",
     "DirectoryStore",
@@ -156,17 +178,23 @@
     "Load",
     "LoadByUpstream",
     "LoadReport",
+    "PartBlame",
+    "PartBlameOptions",
+    "PartsAnswered",
     "PeerList",
     "Placement",
     "PlacementOptions",
     "Probe",
     "Prompt",
     "PromptIndex",
+    "PromptLost",
     "ProofAsked",
     "ProofGiven",
     "ProofOptions",
     "ProofRequest",
     "ProofSource",
+    "Quarantine",
+    "QuarantineMessage",
     "QuarantinedRequest",
     "Refusal",
     "Refused",
@@ -210,6 +238,8 @@
     "ZoneLost",
     "admit",
     "find_parent",
+    "part_key",
     "request_hash",
+    "request_key",
     "stream_limits",
 ]
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/part_blame.py
@@ -0,0 +1,334 @@
+"""Find the parts of prompts that end each engine which begins to answer them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+
+from bronzeline_kernel.forwarding.health import Zone
+
+__all__ = ["Conviction", "PartBlame", "PartBlameOptions", "PromptLost"]
+
+# A prompt of a platform consists of a few parts, of which fewer are shared.
+MAX_PARTS = 16
+MAX_INCIDENTS = 500
+MAX_PROOFS = 256
+MAX_PROVEN_PARTS = 4_000
+
+
+@dataclass(frozen=True)
+class PromptLost:
+    """Report a prompt whose engine died before it had answered some of it.
+
+    `part_ids` are the parts that other requests may share, `age_ms` is the time
+    since the death.
+    """
+
+    upstream_id: str
+    service: str
+    availability_zone: str
+    request_hash: str
+    part_ids: tuple[str, ...]
+    age_ms: float
+
+    @property
+    def zone(self) -> Zone:
+        """Return the service and availability zone of the engine."""
+        return self.service, self.availability_zone
+
+
+@dataclass(frozen=True)
+class PartBlameOptions:
+    """Set how many deaths convict a part, and which deaths count together."""
+
+    # Engines of one zone that die within this time of each other count once.
+    together_ms: float = 500.0
+    # Of more engines together the cause is their zone rather than a prompt.
+    max_together: int = 2
+    # Peers report deaths after `together_ms`.
+    confirm_ms: float = 700.0
+    n_incidents: int = 3
+    # One request that ends engines is a matter of that request alone.
+    n_requests: int = 2
+    # With so many incidents a part is convicted even if others share all of them.
+    n_incidents_with_rival: int = 5
+    # Engines must have answered other prompts within this time before the first
+    # death: if they answer none, no part is to blame.
+    others_answered_ms: float = 10_000.0
+    retention_ms: float = 120_000.0
+
+
+@dataclass
+class Incident:
+    """Hold the prompts that engines of a zone had not answered when they died."""
+
+    zone: Zone
+    at_ms: float
+    upstream_ids: set[str] = field(default_factory=set)
+    # The parts of each prompt, by request hash.
+    prompts: dict[str, frozenset[str]] = field(default_factory=dict)
+    has_own: bool = False
+    # Parts that are blocked already ended the engines.
+    is_explained: bool = False
+
+
+@dataclass(frozen=True)
+class Conviction:
+    """Name the parts to blame: all of them together, and none of them alone.
+
+    `has_own` is true if this router has seen one of the deaths itself.
+    """
+
+    part_ids: tuple[str, ...]
+    upstream_ids: tuple[str, ...]
+    n_requests: int
+    has_own: bool
+
+
+@dataclass(frozen=True)
+class Proof:
+    """Hold when an engine answered a prompt, and the prompt's parts."""
+
+    at_ms: float
+    part_ids: frozenset[str]
+
+
+class PartBlame:
+    """Blame the parts that all prompts had under which engines died.
+
+    An engine's death counts against the parts of each prompt that it had not yet
+    answered. An answer to a prompt proves all of its parts sound, and their earlier
+    deaths no longer count.
+    """
+
+    def __init__(self, options: PartBlameOptions | None = None) -> None:
+        self.options = options or PartBlameOptions()
+        self._incidents: list[Incident] = []
+        self._proofs: list[Proof] = []
+        self._proven_at_ms: dict[str, float] = {}
+
+    def engine_died(self, zone: Zone, upstream_id: str, at_ms: float) -> None:
+        """Record an engine's death, whatever ran on it."""
+        self._incident(zone, upstream_id, at_ms)
+
+    def prompt_lost(
+        self, lost: PromptLost, now_ms: float, *, is_own: bool, is_blocked: bool = False
+    ) -> None:
+        """Record a prompt that an engine had not answered when it died.
+
+        If the prompt's parts are blocked already, the death counts against no other.
+        """
+        at_ms = now_ms - lost.age_ms
+        incident = self._incident(lost.zone, lost.upstream_id, at_ms)
+        incident.has_own |= is_own
+        incident.is_explained |= is_blocked
+        part_ids = frozenset(
+            part_id
+            for part_id in lost.part_ids[:MAX_PARTS]
+            if self._proven_at_ms.get(part_id, float("-inf")) <= at_ms
+        )
+        known = incident.prompts.get(lost.request_hash, frozenset())
+        incident.prompts[lost.request_hash] = known | part_ids
+
+    def proven_since(self, lost: PromptLost, now_ms: float) -> tuple[str, ...]:
+        """Return the parts of a lost prompt that were answered after the death."""
+        at_ms = now_ms - lost.age_ms
+        return tuple(
+            part_id
+            for part_id in lost.part_ids
+            if self._proven_at_ms.get(part_id, float("-inf")) > at_ms
+        )
+
+    def answered(self, part_ids: Collection[str], now_ms: float) -> tuple[str, ...]:
+        """Record that an engine answered a prompt; return its suspected parts."""
+        self._proofs.append(Proof(now_ms, frozenset(part_ids)))
+        del self._proofs[:-MAX_PROOFS]
+        return self.exonerate(part_ids, now_ms)
+
+    def exonerate(self, part_ids: Collection[str], now_ms: float) -> tuple[str, ...]:
+        """Drop the deaths counted against sound parts; return the suspected ones."""
+        suspected = tuple(item for item in part_ids if self.is_suspected(item))
+        for part_id in part_ids:
+            self._proven_at_ms.pop(part_id, None)
+            self._proven_at_ms[part_id] = now_ms
+        while len(self._proven_at_ms) > MAX_PROVEN_PARTS:
+            del self._proven_at_ms[next(iter(self._proven_at_ms))]
+        if suspected:
+            self._drop_parts(frozenset(part_ids))
+        return suspected
+
+    def is_suspected(self, part_id: str) -> bool:
+        """Return whether deaths count against a part."""
+        return any(
+            part_id in parts
+            for incident in self._incidents
+            for parts in incident.prompts.values()
+        )
+
+    def convict(
+        self, now_ms: float, n_needed: Callable[[tuple[str, ...]], int] | None = None
+    ) -> list[Conviction]:
+        """Return the parts to blame.
+
+        `n_needed` returns how many incidents some parts need, which is fewer where
+        they were blamed before.
+        """
+        convictions: list[Conviction] = []
+        while True:
+            found = self._worst(now_ms, n_needed or self._n_needed)
+            if found is None:
+                return convictions
+            convictions.append(found)
+            self.explain(found.part_ids)
+
+    def explain(self, part_ids: Collection[str]) -> None:
+        """Drop the incidents in which a prompt had all of these parts."""
+        self._incidents = [
+            incident
+            for incident in self._incidents
+            if not any(
+                parts.issuperset(part_ids) for parts in incident.prompts.values()
+            )
+        ]
+
+    def expire(self, now_ms: float) -> None:
+        """Drop old incidents."""
+        self._incidents = [
+            incident
+            for incident in self._incidents
+            if now_ms - incident.at_ms < self.options.retention_ms
+        ]
+
+    def is_zone_loss(self, lost: PromptLost, now_ms: float) -> bool:
+        """Return whether too many engines of the zone died together with this one."""
+        incident = self._find(lost.zone, lost.upstream_id, now_ms - lost.age_ms)
+        return incident is not None and self._has_too_many(incident)
+
+    def _n_needed(self, part_ids: tuple[str, ...]) -> int:
+        return self.options.n_incidents
+
+    def _worst(
+        self, now_ms: float, n_needed: Callable[[tuple[str, ...]], int]
+    ) -> Conviction | None:
+        counted = self._counted(now_ms)
+        support = _support(counted)
+        for part_id in sorted(support, key=lambda item: (-len(support[item]), item)):
+            together = _always_together(part_id, counted, support)
+            suspects = [counted[number] for number in sorted(support[part_id])]
+            n_requests = _n_requests(together, suspects)
+            n_incidents = n_needed(together)
+            if len(suspects) < n_incidents:
+                continue
+            if n_requests < min(self.options.n_requests, n_incidents):
+                continue
+            if not self._others_answered(together, suspects[0].at_ms):
+                continue
+            if self._has_rival(together, support):
+                continue
+            return Conviction(
+                together,
+                tuple(sorted(set().union(*(item.upstream_ids for item in suspects)))),
+                n_requests,
+                any(item.has_own for item in suspects),
+            )
+        return None
+
+    def _has_rival(
+        self, part_ids: tuple[str, ...], support: dict[str, set[int]]
+    ) -> bool:
+        """Return whether another part explains as many of the incidents."""
+        numbers = support[part_ids[0]]
+        if len(numbers) >= self.options.n_incidents_with_rival:
+            return False
+        rivals = support.keys() - set(part_ids)
+        return any(support[rival] >= numbers for rival in rivals)
+
+    def _others_answered(self, part_ids: Collection[str], first_at_ms: float) -> bool:
+        """Return whether prompts without these parts were answered meanwhile."""
+        since_ms = first_at_ms - self.options.others_answered_ms
+        return any(
+            proof.at_ms >= since_ms and not proof.part_ids.issuperset(part_ids)
+            for proof in self._proofs
+        )
+
+    def _counted(self, now_ms: float) -> list[Incident]:
+        return [
+            incident
+            for incident in self._incidents
+            if now_ms - incident.at_ms >= self.options.confirm_ms
+            and not incident.is_explained
+            and not self._has_too_many(incident)
+        ]
+
+    def _has_too_many(self, incident: Incident) -> bool:
+        return len(incident.upstream_ids) > self.options.max_together
+
+    def _incident(self, zone: Zone, upstream_id: str, at_ms: float) -> Incident:
+        incident = self._find(zone, upstream_id, at_ms)
+        if incident is None:
+            incident = Incident(zone, at_ms)
+            self._incidents.append(incident)
+            del self._incidents[:-MAX_INCIDENTS]
+        incident.upstream_ids.add(upstream_id)
+        return incident
+
+    def _find(self, zone: Zone, upstream_id: str, at_ms: float) -> Incident | None:
+        """Return the incident of a zone at a time, preferably of the same engine."""
+        close = [
+            incident
+            for incident in self._incidents
+            if incident.zone == zone
+            and abs(incident.at_ms - at_ms) < self.options.together_ms
+        ]
+        same = [item for item in close if upstream_id in item.upstream_ids]
+        return next(iter(same or close), None)
+
+    def _drop_parts(self, part_ids: frozenset[str]) -> None:
+        for incident in self._incidents:
+            for request_hash, parts in incident.prompts.items():
+                incident.prompts[request_hash] = parts - part_ids
+
+
+def _support(incidents: list[Incident]) -> dict[str, set[int]]:
+    """Return for each part the numbers of the incidents that count against it."""
+    support: dict[str, set[int]] = {}
+    for number, incident in enumerate(incidents):
+        for part_id in frozenset().union(*incident.prompts.values()):
+            support.setdefault(part_id, set()).add(number)
+    return support
+
+
+def _always_together(
+    part_id: str, incidents: list[Incident], support: dict[str, set[int]]
+) -> tuple[str, ...]:
+    """Return the parts that the same prompts had as this one, itself included."""
+    prompts = list(_prompts_with((part_id,), incidents))
+    common = frozenset.intersection(*prompts)
+    return tuple(
+        sorted(
+            other
+            for other in common
+            if support[other] == support[part_id]
+            and len(list(_prompts_with((other,), incidents))) == len(prompts)
+        )
+    )
+
+
+def _prompts_with(
+    part_ids: Collection[str], incidents: list[Incident]
+) -> Iterable[frozenset[str]]:
+    for incident in incidents:
+        for parts in incident.prompts.values():
+            if parts.issuperset(part_ids):
+                yield parts
+
+
+def _n_requests(part_ids: Collection[str], incidents: list[Incident]) -> int:
+    return len(
+        {
+            request_hash
+            for incident in incidents
+            for request_hash, parts in incident.prompts.items()
+            if parts.issuperset(part_ids)
+        }
+    )
--- a/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bronzeline_kernel.forwarding.block_list import BlockList, request_key
 from bronzeline_kernel.quarantine import BlameTracker
 
 __all__ = [
@@ -66,6 +67,7 @@
 
     options: RequestQuarantineOptions = field(default_factory=RequestQuarantineOptions)
     tracker: BlameTracker = field(default_factory=BlameTracker)
+    blocks: BlockList = field(default_factory=BlockList)
     on_quarantined: Callable[[QuarantinedRequest], None] = lambda quarantined: None
     on_zone_loss: Callable[[EngineLost], None] = lambda lost: None
     _pending: list[PendingDeath] = field(default_factory=list)
@@ -103,12 +105,12 @@
 
     def is_blocked(self, request_hash: str, now_ms: float) -> bool:
         """Return whether a request is quarantined."""
-        return self.tracker.find(request_hash, now_ms) is not None
+        return self.blocks.find((request_key(request_hash),), now_ms) is not None
 
     def retry_after_ms(self, request_hash: str, now_ms: float) -> float:
         """Return the remaining time of a request's quarantine, 0 if there is none."""
-        entry = self.tracker.find(request_hash, now_ms)
-        return 0.0 if entry is None else entry.expires_at_ms - now_ms
+        block = self.blocks.find((request_key(request_hash),), now_ms)
+        return 0.0 if block is None else block.remaining_ms
 
     def request_completed(self, request_hash: str) -> None:
         """Clear the deaths counted against a request that ran to completion."""
@@ -116,6 +118,8 @@
             self.tracker.clear(request_hash)
 
     def _quarantine_if_to_blame(self, request_hash: str, now_ms: float) -> None:
+        if self.is_blocked(request_hash, now_ms):
+            return
         if not self.tracker.is_to_blame(request_hash):
             return
         upstream_ids = self.tracker.upstream_ids(request_hash)
@@ -124,6 +128,7 @@
             request_hash, "", upstream_ids, QUARANTINE_REASON, expires_at_ms
         )
         for_ms = self.options.quarantine_ms
+        self.blocks.add((request_key(request_hash),), for_ms, now_ms)
         self.on_quarantined(
             QuarantinedRequest(request_hash, tuple(upstream_ids), for_ms)
         )
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
@@ -36,5 +36,8 @@
     # After three upstreams died in a row while running a stream, it either crashes
     # engines or was unlucky; retrying is not worth the risk to another engine.
     max_deaths: int = 3
+    # An engine that goes on for this long after the first event has answered the
+    # prompt: one that the prompt ends dies at once.
+    answered_after_ms: float = 300.0
     # Keeps one request from trying every upstream of a large fleet.
     max_rejections: int = 4
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -47,6 +47,9 @@
     options: StreamOptions = field(default_factory=StreamOptions)
     find_copy: Callable[[float], CopySource | None] = lambda now_ms: None
     is_blocked: Callable[[], bool] = lambda: False
+    # Called once an engine has answered the prompt without being ended by it.
+    on_answered: Callable[[], None] = lambda: None
+    is_answered: bool = False
     last_event: int = 0
     attempt: Attempt | None = None
     is_over: bool = False
@@ -111,6 +114,7 @@
             return False
         self.last_event = event_id
         self.n_deaths = 0
+        self._check_answered(attempt, now_ms)
         return True
 
     def is_gap(self, number: int, event_id: int) -> bool:
@@ -173,6 +177,8 @@
             return []
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
+        if not self.has_delivered and self.is_blocked():
+            return self._fail_blocked()
         if attempt is None:
             is_due = (
                 self._search_deadline_ms is not None
@@ -219,6 +225,12 @@
         self.is_over = True
         return [Abandon(number), *drops] if number else []
 
+    def _check_answered(self, attempt: Attempt, now_ms: float) -> None:
+        answered_ms = now_ms - attempt.first_event_at_ms
+        if not self.is_answered and answered_ms >= self.options.answered_after_ms:
+            self.is_answered = True
+            self.on_answered()
+
     def _is_current(self, number: int) -> bool:
         if self.is_over or self.attempt is None:
             return False
@@ -472,6 +484,11 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
         return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
 
+    def _fail_blocked(self) -> list[Action]:
+        """End a request that was blocked meanwhile, before it ends another engine."""
+        failure = Failure.UNKNOWN_OUTCOME if self.n_sent else Failure.NOT_RUN
+        return self._fail(failure, "quarantined")
+
     def _fail_too_late(self, reason: str, now_ms: float) -> list[Action]:
         """Refuse the request; before its deadline a retry would have less time."""
         return self._fail(Failure.NOT_RUN, reason, self.deadline_ms - now_ms)
