Tell routers that restart or were cut off what is refused

Cause: a block is announced once, to who is there. Class of fault: state that is only pushed, with no way to ask for it. Request quarantines have the same fault and share the mend, as both stand in one list.

The root keeps long blocks in the store and reads them when it becomes root, so they outlast the loss of all routers.

--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -13,6 +13,7 @@
 from bronzeline_kernel.forwarding import (
     N_RUN_HOLDERS,
     Address,
+    BlocksAsked,
     BlocksChanged,
     EngineLost,
     ForwardingSettings,
@@ -59,6 +60,7 @@
 ZONE_LOST_INTERVAL_MS = 400.0
 
 MESSAGE_TYPES = (
+    BlocksAsked,
     BlocksChanged,
     EngineLost,
     LoadReport,
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -10,6 +10,8 @@
 from tornado.netutil import bind_sockets
 
 from bronzeline_daemon.clock import BootClock
+from bronzeline_daemon.forwarding.block_exchange import BlockExchange
+from bronzeline_daemon.forwarding.block_store import BlockStore
 from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
 from bronzeline_daemon.forwarding.frontend import CallerFrontend
 from bronzeline_daemon.forwarding.metrics import MetricsServer
@@ -88,6 +90,14 @@
         self.directory = RouterDirectory(
             store, peers, self.source, self.documents, self.clock, self.random
         )
+        self.blocks = BlockExchange(
+            self.service.quarantine,
+            BlockStore(store, self.service.quarantine),
+            self.source,
+            peers,
+            self.clock,
+            self.random,
+        )
         self._store = store
         self._add_gauges()
         self._metrics_port = metrics_port
@@ -110,6 +120,7 @@
         self.documents.start(self.settings.peers.host, self.settings.peers.port)
         self.proofs.start()
         self.directory.start()
+        self.blocks.start()
         for server, address in (
             (self._readiness, self.settings.readiness),
             (self.frontend.server, self.settings.callers),
@@ -145,6 +156,7 @@
         self.watch.stop()
         self.proofs.stop()
         self.directory.stop()
+        self.blocks.stop()
         self.service.peers.stop()
         self.documents.stop()
         for server in (self.frontend.server, self._readiness, self._metrics_server):
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -84,10 +84,10 @@
         self.placement = Placement(
             settings.availability_zone, view.upstreams, UpstreamHealth(), random
         )
-        self._quarantine = Quarantine(random)
+        self.quarantine = Quarantine(random)
         self._runs = RunDirectory(view.upstreams)
         self.peers = ForwardingPeers(
-            settings, self.placement, self._runs, self._quarantine, clock, random
+            settings, self.placement, self._runs, self.quarantine, clock, random
         )
         self._engine_adopter = EngineAdopter(view, engines, self.peers, clock)
         self._budgets = BudgetShare(settings.retry_ratio, settings.n_retry_reserve)
@@ -97,11 +97,11 @@
         self._logs = LogLimiter(clock, settings.router_id)
         self.placement.health.on_belief = self._on_belief_changed
         self.placement.health.on_replaced = self._on_replaced
-        self._quarantine.requests.on_quarantined = self._on_quarantined
-        self._quarantine.requests.on_zone_loss = self._on_zone_loss
-        self._quarantine.on_convicted = self._on_parts_quarantined
-        self._quarantine.on_block_learned = self._on_block_learned
-        self._quarantine.on_answered = self._on_parts_answered
+        self.quarantine.requests.on_quarantined = self._on_quarantined
+        self.quarantine.requests.on_zone_loss = self._on_zone_loss
+        self.quarantine.on_convicted = self._on_parts_quarantined
+        self.quarantine.on_block_learned = self._on_block_learned
+        self.quarantine.on_answered = self._on_parts_answered
         self._relay_context = RelayContext(
             clock,
             self.connection_pool,
@@ -112,7 +112,7 @@
                 self.peers, PromptListReader(engines, self.placement.prompts, clock)
             ),
             self.peers,
-            self._quarantine,
+            self.quarantine,
             self._logs,
             self.metrics,
         )
@@ -239,7 +239,7 @@
                 is_blocked=lambda: (
                     self._find_block(request, hash_of_request) is not None
                 ),
-                on_answered=lambda: self._quarantine.prompt_answered(
+                on_answered=lambda: self.quarantine.prompt_answered(
                     request.shared_part_ids, self._clock.now_ms()
                 ),
             )
@@ -264,8 +264,8 @@
         self.placement.prune(self._clock.now_ms())
 
     def _find_block(self, request: CallerRequest, hash_of_request: str) -> Block | None:
-        keys = self._quarantine.keys(request, hash_of_request)
-        return self._quarantine.find(keys, self._clock.now_ms())
+        keys = self.quarantine.keys(request, hash_of_request)
+        return self.quarantine.find(keys, self._clock.now_ms())
 
     def _on_request_ended(self, kind: WorkKind, report: RequestReport) -> None:
         self.n_running -= 1
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -96,6 +96,7 @@
     WireFormat,
 )
 from bronzeline_kernel.forwarding.quarantine import (
+    BlocksAsked,
     BlocksChanged,
     PartsAnswered,
     Quarantine,
@@ -143,6 +144,7 @@
     "BeliefChange",
     "Block",
     "BlockList",
+    "BlocksAsked",
     "BlocksChanged",
     "BudgetShare",
     "CallOptions",
--- a/packages/kernel/bronzeline_kernel/forwarding/proof_source.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/proof_source.py
@@ -106,10 +106,14 @@
             self._update_parent()
         return self._parent
 
+    def is_root(self, now_ms: float) -> bool:
+        """Return whether this router knows the others and is the root of the tree."""
+        return self._peers is not None and self.parent(now_ms) is None
+
     def must_read_store(self, now_ms: float) -> bool:
         """Return whether this router must read the store itself."""
         is_starting = self._is_starting(now_ms)
-        if self._peers is not None and self.parent(now_ms) is None:
+        if self.is_root(now_ms):
             return True
         if is_starting:
             return False
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from bronzeline_kernel.forwarding.adoption import UpstreamIdentity
+from bronzeline_kernel.forwarding.block_list import Block
 from bronzeline_kernel.forwarding.change_log import UpstreamChange
 from bronzeline_kernel.forwarding.config import ForwardingConfig, WorkspaceKeys
 from bronzeline_kernel.forwarding.messages import (
@@ -80,6 +81,15 @@
     async def list_routers(self) -> tuple[RouterEntry, ...]:
         """Return the entries of all routers; they may be some seconds out of date."""
 
+    async def list_blocks(self) -> tuple[Block, ...]:
+        """Return the stored blocks."""
+
+    async def write_block(self, block: Block) -> None:
+        """Write a block, also over an earlier one of the same keys."""
+
+    async def delete_block(self, keys: tuple[str, ...]) -> None:
+        """Delete the block of these keys, if there is one."""
+
     def close(self) -> None:
         """Close the connections to the store."""
 
--- a/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
@@ -19,7 +19,13 @@
     RequestQuarantine,
 )
 
-__all__ = ["BlocksChanged", "PartsAnswered", "Quarantine", "QuarantineMessage"]
+__all__ = [
+    "BlocksAsked",
+    "BlocksChanged",
+    "PartsAnswered",
+    "Quarantine",
+    "QuarantineMessage",
+]
 
 # Requests with a part that ends engines may come from many callers for long.
 PART_QUARANTINE_MS = 600_000.0
@@ -44,6 +50,14 @@
     blocks: tuple[Block, ...]
 
 
+@dataclass(frozen=True)
+class BlocksAsked:
+    """Request a peer's blocks if their checksum is another one."""
+
+    digest: int
+    is_answer: bool
+
+
 QuarantineMessage = EngineLost | PromptLost | PartsAnswered | BlocksChanged
 
 
