Log the limits that upstreams name

Cause: the lines of the incident of the exceeded limit do not tell its hypotheses apart. No line says that a limit was named, which one, or what it left for a choice.

Change: the limit is read from every response, also one that rejects the request; limit_changed says when it changes, attempt_sent names that of the chosen upstream, and bronzeline_limited_upstreams counts them. No decision changes.

Measured: wire and kernel tests pass; nothing else is measured here.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -12,6 +12,7 @@
 from bronzeline_kernel.forwarding import (
     CallerRequest,
     Fault,
+    ListedUpstream,
     ResponseHead,
     Send,
     WireFormat,
@@ -37,6 +38,8 @@
     on_data: Callable[[int, bytes], Awaitable[None] | None]
     on_complete: Callable[[int], None]
     on_lost: Callable[[int, Fault], None]
+    # Called for each response of the upstream, also one that rejects the request.
+    on_response: Callable[[ListedUpstream, ResponseHead], None]
 
 
 @dataclass
@@ -112,6 +115,8 @@
         if not head.is_own and not head.is_rejected and not head.is_other_process:
             return False
         self.head = head
+        if not head.is_other_process:
+            self.listener.on_response(self.send.upstream, head)
         if not self._is_abandoned and self._head_fault() is None:
             self.listener.on_head(self.send.number, head)
         return True
--- a/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -57,4 +57,7 @@
     rounded = {
         name: round(value) for name, value in durations_ms.items() if value is not None
     }
-    return {"n_compared": choice.n_compared, "next_id": choice.next_id, **rounded}
+    fields = {"n_compared": choice.n_compared, "next_id": choice.next_id, **rounded}
+    if choice.limit_per_s is not None:
+        fields["limit_per_s"] = choice.limit_per_s
+    return fields
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -84,7 +84,11 @@
         self._on_end: Callable[[RequestReport], None] = _ignore_report
         self._timer: asyncio.TimerHandle | None = None
         self._listener = AttemptListener(
-            self.on_head, self.on_data, self.on_complete, self._on_lost
+            self.on_head,
+            self.on_data,
+            self.on_complete,
+            self._on_lost,
+            context.on_response,
         )
 
     def start(self, on_end: Callable[[RequestReport], None]) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -13,7 +14,14 @@
 from bronzeline_daemon.forwarding.run_copier import RunCopier
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.admission import RetryBudget
-from bronzeline_kernel.forwarding import Action, Fault, Quarantine, WireFormat
+from bronzeline_kernel.forwarding import (
+    Action,
+    Fault,
+    ListedUpstream,
+    Quarantine,
+    ResponseHead,
+    WireFormat,
+)
 from bronzeline_kernel.protocols import Clock
 
 __all__ = ["RelayContext", "RequestMachine", "RequestReport"]
@@ -66,3 +74,5 @@
     quarantine: Quarantine
     logs: LogLimiter
     metrics: ForwardingMetrics
+    # Called with the upstream and the head of each response.
+    on_response: Callable[[ListedUpstream, ResponseHead], None]
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -189,6 +189,11 @@
                 lambda: view.lease.age_ms(self.clock.now_ms()),
             ),
             ("upstreams", "Listed upstreams.", lambda: len(view.upstreams)),
+            (
+                "limited_upstreams",
+                "Upstreams that name a request rate as their limit.",
+                lambda: len(self.service.placement.limits),
+            ),
             (
                 "channels_opened",
                 "Connections opened to upstreams.",
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -32,12 +32,15 @@
     EngineLost,
     ForwardingSettings,
     ForwardingView,
+    LimitChange,
+    ListedUpstream,
     PartsAnswered,
     Placement,
     Quarantine,
     QuarantinedRequest,
     Refusal,
     Refused,
+    ResponseHead,
     ResponseLimits,
     RunDirectory,
     StopPlan,
@@ -97,6 +100,7 @@
         self._logs = LogLimiter(clock, settings.router_id)
         self.placement.health.on_belief = self._on_belief_changed
         self.placement.health.on_replaced = self._on_replaced
+        self.placement.limits.on_change = self._on_limit_changed
         self.quarantine.requests.on_quarantined = self._on_quarantined
         self.quarantine.requests.on_zone_loss = self._on_zone_loss
         self.quarantine.on_convicted = self._on_parts_quarantined
@@ -115,6 +119,7 @@
             self.quarantine,
             self._logs,
             self.metrics,
+            self._on_response,
         )
 
     def limits(self) -> CallerLimits:
@@ -158,6 +163,16 @@
             request_hash=hash_of_request,
         )
 
+    def _on_response(self, upstream: ListedUpstream, head: ResponseHead) -> None:
+        self.placement.limits.record_response(upstream.incarnation, head.limit_per_s)
+
+    def _on_limit_changed(self, change: LimitChange) -> None:
+        self._logs.info(
+            "limit_changed",
+            upstream_id=change.upstream_id,
+            limit_per_s=change.limit_per_s,
+        )
+
     def _on_replaced(self, upstream: tuple[str, int]) -> None:
         self.peers.report_replaced(upstream)
         self._engine_adopter.on_replaced(upstream[0])
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -124,6 +124,7 @@
 from bronzeline_kernel.forwarding.stream_limits import StreamLimits, stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.stream_run import StreamRun
+from bronzeline_kernel.forwarding.upstream_limits import LimitChange, UpstreamLimits
 from bronzeline_kernel.forwarding.upstream_set import (
     Address,
     Incarnation,
@@ -176,6 +177,7 @@
     "HealthOptions",
     "Incarnation",
     "LeaseTerms",
+    "LimitChange",
     "ListedUpstream",
     "Load",
     "LoadByUpstream",
@@ -230,6 +232,7 @@
     "UpstreamChanges",
     "UpstreamHealth",
     "UpstreamIdentity",
+    "UpstreamLimits",
     "UpstreamListing",
     "UpstreamReplaced",
     "UpstreamSet",
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -17,6 +17,7 @@
     PeerReports,
 )
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
+from bronzeline_kernel.forwarding.upstream_limits import UpstreamLimits
 from bronzeline_kernel.forwarding.upstream_set import (
     Incarnation,
     ListedUpstream,
@@ -62,8 +63,8 @@
     """Hold the chosen upstream, the best alternative and the age of the evidence.
 
     `reports_age_ms` is the age of the oldest peer report used, `sign_age_ms` the
-    time since the chosen upstream last responded or accepted a connection; each
-    is None if there was none.
+    time since the chosen upstream last responded or accepted a connection,
+    `limit_per_s` the limit that it named; each is None if there was none.
     """
 
     upstream: ListedUpstream
@@ -73,6 +74,7 @@
     next_cost_ms: float | None
     reports_age_ms: float | None
     sign_age_ms: float | None
+    limit_per_s: float | None = None
 
 
 @dataclass
@@ -85,6 +87,7 @@
     random: Random
     options: PlacementOptions = field(default_factory=PlacementOptions)
     prompts: PromptIndex = field(default_factory=PromptIndex)
+    limits: UpstreamLimits = field(default_factory=UpstreamLimits)
     _paces: defaultdict[str, EnginePace] = field(
         default_factory=lambda: defaultdict(EnginePace)
     )
@@ -118,6 +121,7 @@
         """Drop the state of upstreams no longer listed, and old peer reports."""
         self._peer_reports.prune(now_ms)
         self.health.keep_only(self.upstreams.incarnations())
+        self.limits.keep_only(self.upstreams.incarnations())
         self._loads = {
             key: item
             for key, item in self._loads.items()
@@ -271,6 +275,7 @@
             next_cost_ms=None if next_best is None else costs[next_best],
             reports_age_ms=reports_age_ms,
             sign_age_ms=self._sign_age_ms(items[chosen], now_ms),
+            limit_per_s=self.limits.limit_per_s(items[chosen].incarnation),
         )
 
     def _sign_age_ms(self, upstream: ListedUpstream, now_ms: float) -> float | None:
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -129,6 +129,8 @@
     is_encoded: bool
     keep_alive_ms: float | None
     closes: bool
+    # The request rate that the upstream takes from all routers together.
+    limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
