Test when a stream ends because its prompt was blocked

Cause: tested it through whole routers only.

Change: tables for a stream on an engine without events, which ends, one with events, which goes on, and for how long an engine must go on to have answered a prompt.

--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -308,3 +308,28 @@
         failed = driver.fail_attempt(1)[-1]
         self.assertEqual(failed.reason, "retry budget spent")
         self.assertEqual(failed.failure, Failure.UNKNOWN_OUTCOME)
+
+
+class BlockTests(unittest.TestCase):
+    @params((0, True), (1, False))
+    def test_a_stream_without_events_ends_once_its_prompt_is_blocked(
+        self, n_events, is_ended
+    ):
+        blocked = []
+        driver = Driver(is_blocked=lambda: bool(blocked))
+        driver.start()
+        driver.events(1, n_events)
+        blocked.append(True)
+        actions = [action for _, action in driver.wait(100.0)]
+        expected = [Abandon(1), Fail(Failure.UNKNOWN_OUTCOME, "quarantined")]
+        self.assertEqual(actions, expected if is_ended else [])
+
+    @params((100.0, 0), (300.0, 1), (900.0, 1))
+    def test_an_engine_that_goes_on_has_answered_the_prompt(self, for_ms, n_answered):
+        answered = []
+        driver = Driver(on_answered=lambda: answered.append(driver.now_ms))
+        driver.start()
+        driver.event(1, 1)
+        driver.event(1, 2, for_ms)
+        driver.event(1, 3)
+        self.assertEqual(len(answered), n_answered)
