Share among all routers the limits that upstreams name

Callers saw: calls that fail at upstreams in need, which get more requests than they asked for (28 in 4 s of one that named 2.8 a second).

Cause: routers did not read the limit; and each counts only its own requests, so a limit kept by each for itself would let nine times as much through. Class of fault: a bound on a sum that is kept, if at all, by each part.

Change: UpstreamLimits holds a token bucket for each limited upstream. A router takes a token for each request and tells its peers, which take one too, so all see the same requests left. The report names the limit, so routers that start or were cut off learn it with the next request of any. Nothing is left at first. Placement leaves out upstreams without room; who finds none is refused as not run and told a time, one caller after the other. Resumed streams may go four requests ahead. A limit above 20 a second is reported every 100 ms, and in fleets of more than 128 routers each zone has a fixed share of it.

Why it works: requests that cross on their way take the bucket below zero, and the next ones wait, so the average holds at the named rate.

Ruled out: a share of the limit for each router (most of it unused, as two routers of a zone send nearly all), and a router that grants each request (a round trip, and its loss).

--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -18,6 +18,7 @@
     EngineLost,
     ForwardingSettings,
     Incarnation,
+    LimitReport,
     ListedUpstream,
     LoadByUpstream,
     LoadReport,
@@ -63,6 +64,7 @@
     BlocksAsked,
     BlocksChanged,
     EngineLost,
+    LimitReport,
     LoadReport,
     PartsAnswered,
     PromptLost,
@@ -128,6 +130,7 @@
         self._lookups: dict[str, RunLookup] = {}
         self._listeners: dict[type[Any], Listener] = {}
         placement.health.on_zone_lost = self._report_zone_lost
+        placement.limits.on_report = self._report_limit
 
     async def start(self) -> None:
         """Bind the UDP port and start to report load."""
@@ -225,6 +228,8 @@
             case LoadReport(router_id, prompts, streams, copies):
                 load = LoadByUpstream(prompts, streams, copies)
                 self._placement.set_peer_load(router_id, load, now_ms)
+            case LimitReport():
+                self._placement.limits.receive(message, now_ms)
             case UpstreamReplaced(upstream_id, started_at_ms):
                 replaced = (upstream_id, started_at_ms)
                 self._placement.health.record_peer_replaced(replaced, now_ms)
@@ -270,6 +275,18 @@
         for peer in peers:
             self._transport.sendto(data, (peer.host, peer.peer_port))
 
+    def _report_limit(self, report: LimitReport) -> None:
+        is_for_zone = self._placement.limits.is_for_zone(report)
+        peers = self.peer_list.in_zone if is_for_zone else self.peer_list.all
+        self._send(report, peers)
+
+    def _report_limits(self) -> None:
+        limits = self._placement.limits
+        limits.n_routers = self.n_routers
+        limits.n_in_zone = len(self.peer_list.in_zone) + 1
+        for report in limits.reports(self._clock.now_ms()):
+            self._report_limit(report)
+
     def _report_quarantine(self) -> None:
         now_ms = self._clock.now_ms()
         for message in self._quarantine.tick(now_ms, len(self.peer_list)):
@@ -284,6 +301,7 @@
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
             self._report_quarantine()
+            self._report_limits()
             load = self._placement.own_load()
             has_new_prompts = load.prompts != previous.prompts
             n_unchanged = n_unchanged + 1 if load == previous else 0
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -164,13 +164,19 @@
         )
 
     def _on_response(self, upstream: ListedUpstream, head: ResponseHead) -> None:
-        self.placement.limits.record_response(upstream.incarnation, head.limit_per_s)
+        if head.is_rejected and head.limit_per_s is None:
+            # Only a response to a request that ran shows that there is no limit.
+            return
+        self.placement.limits.record_response(
+            upstream.incarnation, head.limit_per_s, self._clock.now_ms()
+        )
 
     def _on_limit_changed(self, change: LimitChange) -> None:
         self._logs.info(
             "limit_changed",
             upstream_id=change.upstream_id,
             limit_per_s=change.limit_per_s,
+            source="own" if change.is_own else "peer",
         )
 
     def _on_replaced(self, upstream: tuple[str, int]) -> None:
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -124,7 +124,11 @@
 from bronzeline_kernel.forwarding.stream_limits import StreamLimits, stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.stream_run import StreamRun
-from bronzeline_kernel.forwarding.upstream_limits import LimitChange, UpstreamLimits
+from bronzeline_kernel.forwarding.upstream_limits import (
+    LimitChange,
+    LimitReport,
+    UpstreamLimits,
+)
 from bronzeline_kernel.forwarding.upstream_set import (
     Address,
     Incarnation,
@@ -178,6 +182,7 @@
     "Incarnation",
     "LeaseTerms",
     "LimitChange",
+    "LimitReport",
     "ListedUpstream",
     "Load",
     "LoadByUpstream",
--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -17,6 +17,7 @@
     Send,
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
+from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
 
 __all__ = ["CallOptions", "CallRun"]
@@ -186,7 +187,7 @@
         if choice is None and self._tried:
             choice = self.placement.choose_for_call(self.service, now_ms)
         if choice is None:
-            return self._fail_not_served("no upstream")
+            return self._fail_without_upstream(now_ms)
         return [self._send_to(choice, now_ms)]
 
     def _send_to(self, choice: Choice, now_ms: float) -> Send:
@@ -195,6 +196,7 @@
         self.n_reached += 1
         self._open[self.n_sent] = upstream
         self.placement.load(upstream.upstream_id).n_calls += 1
+        self.placement.record_send(upstream, now_ms)
         budget_ms = max(0.0, self.deadline_ms - now_ms)
         return Send(self.n_sent, upstream, budget_ms, choice=choice)
 
@@ -203,10 +205,20 @@
             return self._fail_not_served(fault.value)
         return self._fail(Failure.UNKNOWN_OUTCOME, fault.value)
 
-    def _fail_not_served(self, reason: str) -> list[Action]:
+    def _fail_without_upstream(self, now_ms: float) -> list[Action]:
+        return_ms = self.placement.return_after_limit_ms(self.service, now_ms)
+        if return_ms is None:
+            return self._fail_not_served("no upstream")
+        left_ms = self.deadline_ms - now_ms
+        return self._fail_not_served(LIMITED, useful_return_ms(return_ms, left_ms))
+
+    def _fail_not_served(
+        self, reason: str, retry_after_ms: float | None = None
+    ) -> list[Action]:
         if self.may_have_run:
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
-        retry_after_ms = self.options.retry_after_ms
+        if retry_after_ms is None:
+            retry_after_ms = self.options.retry_after_ms
         return self._fail(Failure.NOT_RUN, reason, retry_after_ms)
 
     def _fail(
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -27,6 +27,7 @@
 __all__ = ["Choice", "Placement", "PlacementOptions"]
 
 _CostFunction = Callable[[ListedUpstream], float]
+_RoomFunction = Callable[[Incarnation, float], bool]
 
 
 @dataclass(frozen=True)
@@ -121,7 +122,7 @@
         """Drop the state of upstreams no longer listed, and old peer reports."""
         self._peer_reports.prune(now_ms)
         self.health.keep_only(self.upstreams.incarnations())
-        self.limits.keep_only(self.upstreams.incarnations())
+        self.limits.keep_only(self.upstreams.incarnations(), now_ms)
         self._loads = {
             key: item
             for key, item in self._loads.items()
@@ -134,8 +135,13 @@
         now_ms: float,
         exclude: Collection[Incarnation] = (),
         prompt: Prompt | None = None,
+        *,
+        is_resumed: bool = False,
     ) -> Choice | None:
-        """Choose the upstream for a stream, preferring one that cached its prompt."""
+        """Choose the upstream for a stream, preferring one that cached its prompt.
+
+        A resumed stream may be sent a little ahead of an upstream's limit.
+        """
         peers = self._peer_reports.total(now_ms)
         prompt_ms = self.pace(service).usual_prompt_ms
 
@@ -148,7 +154,9 @@
             cost_share = self._stream_cost(upstream, peers, now_ms) - cached_share
             return cost_share * prompt_ms
 
-        return self._cheapest(service, now_ms, exclude, cost, peers.age_ms)
+        limits = self.limits
+        has_room = limits.may_send_ahead if is_resumed else limits.may_send
+        return self._cheapest(service, now_ms, exclude, cost, has_room, peers.age_ms)
 
     def prompt_list_candidates(
         self, service: str, now_ms: float
@@ -166,7 +174,11 @@
     ) -> Choice | None:
         """Choose the upstream for a short call."""
         return self._cheapest(
-            service, now_ms, exclude, lambda item: self._call_cost(item, now_ms)
+            service,
+            now_ms,
+            exclude,
+            lambda item: self._call_cost(item, now_ms),
+            self.limits.may_send,
         )
 
     def choose_for_copy(
@@ -193,6 +205,20 @@
         )
         return None if choice is None else choice.upstream
 
+    def record_send(self, upstream: ListedUpstream, now_ms: float) -> None:
+        """Count a request against the limit of an upstream, if it named one."""
+        self.limits.record_send(upstream.incarnation, now_ms)
+
+    def return_after_limit_ms(self, service: str, now_ms: float) -> float | None:
+        """Return when a caller should come back that no limit leaves room for.
+
+        None means that limits are not the reason.
+        """
+        usable = self.upstreams.usable(service, now_ms)
+        if any(self.limits.may_send(item.incarnation, now_ms) for item in usable):
+            return None
+        return self.limits.return_after_ms(service, usable, now_ms)
+
     def is_keeper_available(self, keeper: ListedUpstream, now_ms: float) -> bool:
         """Return whether the keeper of a copy, and its zone, seem to be alive."""
         zone = (keeper.service, keeper.availability_zone)
@@ -218,10 +244,15 @@
         now_ms: float,
         exclude: Collection[Incarnation],
         cost: _CostFunction,
+        has_room: _RoomFunction,
         reports_age_ms: float | None = None,
     ) -> Choice | None:
         candidates = self._sample(service, now_ms)
-        usable = [item for item in candidates if item.incarnation not in exclude]
+        usable = [
+            item
+            for item in candidates
+            if item.incarnation not in exclude and has_room(item.incarnation, now_ms)
+        ]
         healthy = [
             item
             for item in usable
--- a/packages/kernel/bronzeline_kernel/forwarding/return_times.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/return_times.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ["return_after_outage_ms"]
+__all__ = ["LIMITED", "return_after_outage_ms", "useful_return_ms"]
+
+# Why a request is refused while no limit of an upstream leaves room for it.
+LIMITED = "limits of the upstreams reached"
 
 MIN_RETURN_MS = 250.0
 MAX_RETURN_MS = 5_000.0
@@ -21,4 +24,9 @@
     expected_ms = min(MAX_RETURN_MS, max(MIN_RETURN_MS, lasted_ms))
     if left_ms is None:
         return expected_ms
-    return min(expected_ms, LATEST_RETURN_SHARE * left_ms)
+    return useful_return_ms(expected_ms, left_ms)
+
+
+def useful_return_ms(return_ms: float, left_ms: float) -> float:
+    """Return a time to come back that leaves a caller enough time to be served."""
+    return min(return_ms, LATEST_RETURN_SHARE * left_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -25,6 +25,7 @@
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
 from bronzeline_kernel.forwarding.prompt_index import Prompt
+from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
 from bronzeline_kernel.forwarding.stream_evidence import StreamEvidence
 from bronzeline_kernel.forwarding.stream_limits import stream_limits
@@ -295,7 +296,12 @@
         self.n_lost += 1
         return [Abandon(attempt.number), *self._resume(attempt, Fault.SILENT, now_ms)]
 
-    def _may_retry_same_upstream(self, attempt: Attempt, fault: Fault) -> bool:
+    def _may_resume_on(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        return self.placement.limits.may_send_ahead(upstream.incarnation, now_ms)
+
+    def _may_retry_same_upstream(
+        self, attempt: Attempt, fault: Fault, now_ms: float
+    ) -> bool:
         """Return whether to retry once on the same upstream.
 
         After a broken connection the upstream may be alive and still have the
@@ -306,6 +312,8 @@
         incarnation = attempt.upstream.incarnation
         if incarnation in self._retried:
             return False
+        if not self.placement.limits.may_send(incarnation, now_ms):
+            return False
         self._retried.add(incarnation)
         return True
 
@@ -319,9 +327,9 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
         copy = self._copy_to_try(attempt, now_ms)
-        if copy is not None:
+        if copy is not None and self._may_resume_on(copy.keeper, now_ms):
             return [self._send(copy.keeper, now_ms, copy)]
-        if self._may_retry_same_upstream(attempt, fault):
+        if self._may_retry_same_upstream(attempt, fault, now_ms):
             return [self._send(attempt.upstream, now_ms)]
         return self._send_prompt(now_ms)
 
@@ -363,6 +371,8 @@
         copy = self.find_copy(now_ms)
         if copy is None or not self.placement.may_keeper_hold(copy.keeper, now_ms):
             return []
+        if not self._may_resume_on(copy.keeper, now_ms):
+            return []
         return [self._send(copy.keeper, now_ms, copy)]
 
     def _is_resent(self, now_ms: float) -> bool:
@@ -385,18 +395,26 @@
     def _send_prompt(self, now_ms: float) -> list[Action]:
         request = self.request
         prompt = Prompt(request.unique_part_id, request.n_prompt_tokens)
-        choose = self.placement.choose_for_stream
-        choice = choose(self.service, now_ms, self._tried, prompt)
+        choice = self._choose(prompt, now_ms)
         if choice is None and self._tried:
             self._tried.clear()
-            choice = choose(self.service, now_ms, (), prompt)
+            choice = self._choose(prompt, now_ms)
         if choice is None:
-            return self._fail_not_served("no upstream")
+            return self._fail_without_upstream(now_ms)
         read_ms = self._evidence().fastest_read_ms(choice.upstream, now_ms)
         if not self.n_sent and self._is_too_late(read_ms, now_ms):
             return self._fail_too_late("too little time for the prompt", now_ms)
         return [self._send(choice.upstream, now_ms, choice=choice)]
 
+    def _choose(self, prompt: Prompt, now_ms: float) -> Choice | None:
+        return self.placement.choose_for_stream(
+            self.service,
+            now_ms,
+            self._tried,
+            prompt,
+            is_resumed=self.has_delivered or self.n_lost > 0,
+        )
+
     def _evidence(self) -> StreamEvidence:
         return StreamEvidence(self.request, self.service, self.placement, self.options)
 
@@ -431,6 +449,7 @@
             copy is not None,
             copy_to,
         )
+        self.placement.record_send(upstream, now_ms)
         load = self.placement.load(upstream.upstream_id)
         load.n_prompts += 1
         load.n_streams += 1
@@ -479,10 +498,21 @@
         if attempt.copy_to is not None:
             self.placement.load(attempt.copy_to.upstream_id).n_copies -= 1
 
-    def _fail_not_served(self, reason: str) -> list[Action]:
+    def _fail_without_upstream(self, now_ms: float) -> list[Action]:
+        return_ms = self.placement.return_after_limit_ms(self.service, now_ms)
+        if return_ms is None:
+            return self._fail_not_served("no upstream")
+        left_ms = self.deadline_ms - now_ms
+        return self._fail_not_served(LIMITED, useful_return_ms(return_ms, left_ms))
+
+    def _fail_not_served(
+        self, reason: str, retry_after_ms: float | None = None
+    ) -> list[Action]:
         if self.n_lost or self.has_delivered:
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
-        return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
+        if retry_after_ms is None:
+            retry_after_ms = self.options.retry_after_ms
+        return self._fail(Failure.NOT_RUN, reason, retry_after_ms)
 
     def _fail_blocked(self) -> list[Action]:
         """End a request that was blocked meanwhile, before it ends another engine."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
@@ -210,3 +210,46 @@
     def test_disconnect_abandons_only_repeatable_attempts(self, call_route, expected):
         run, _ = call(call_route)
         self.assertEqual(run.cancel(), expected)
+
+
+class LimitTests(unittest.TestCase):
+    """Upstreams name limits, of which nothing is left at first."""
+
+    def limited(self, n_limited, limit_per_s=2.0):
+        entries = fleet(1, ORDERS)
+        call_placement = placement(entries)
+        for item in entries[:n_limited]:
+            call_placement.limits.record_response(item.incarnation, limit_per_s, 0.0)
+        return call_placement
+
+    def start(self, call_placement, now_ms):
+        budget = RetryBudget(0.5, 10.0)
+        run = CallRun(ORDER, ORDERS, call_placement, budget, now_ms + DEADLINE_MS)
+        return run.start(now_ms)[0]
+
+    def test_calls_go_to_upstreams_whose_limit_leaves_room(self):
+        call_placement = self.limited(n_limited=2)
+        sent = [self.start(call_placement, at_ms).upstream for at_ms in (0.0, 400.0)]
+        self.assertEqual({item.availability_zone for item in sent}, {"zone-c"})
+        near = [self.start(call_placement, 600.0).upstream for _ in range(2)]
+        zones = [item.availability_zone for item in near]
+        self.assertEqual(zones, ["zone-a", "zone-b"])
+
+    def test_a_call_beyond_all_limits_is_refused_as_not_run_with_a_time(self):
+        call_placement = self.limited(n_limited=3)
+        failures = [self.start(call_placement, 0.0) for _ in range(8)]
+        self.assertEqual({item.failure for item in failures}, {Failure.NOT_RUN})
+        times = [item.retry_after_ms for item in failures]
+        self.assertEqual(times[0], 500.0)
+        self.assertEqual(times, sorted(times))
+        self.assertEqual(max(times), 0.7 * DEADLINE_MS)
+        self.assertIsInstance(self.start(call_placement, 500.0), Send)
+
+    def test_a_second_attempt_keeps_to_the_limits_too(self):
+        call_placement = self.limited(n_limited=3)
+        budget = RetryBudget(0.5, 10.0)
+        run = CallRun(STATUS, ORDERS, call_placement, budget, 500.0 + DEADLINE_MS)
+        for item in fleet(1, ORDERS)[1:]:
+            call_placement.limits.record_send(item.incarnation, 500.0)
+        self.assertIsInstance(run.start(500.0)[0], Send)
+        self.assertEqual(run.tick(700.0), [])
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_table.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_table.py
@@ -34,8 +34,12 @@
 
     n_chosen = 0
 
-    def choose_for_stream(self, service, now_ms, exclude=(), prompt=None):
-        choice = super().choose_for_stream(service, now_ms, exclude, prompt)
+    def choose_for_stream(
+        self, service, now_ms, exclude=(), prompt=None, *, is_resumed=False
+    ):
+        choice = super().choose_for_stream(
+            service, now_ms, exclude, prompt, is_resumed=is_resumed
+        )
         if choice is None:
             return None
         usable = [
