Tell refused callers a time also if an upstream takes nothing, and within 5 s

Cause: an upstream that names a limit of 0 counted as one without a limit in the time to come back, so its callers were told a fixed one; and with each refused caller the next one's time moved on without end, also for those refused much later.

Change: limits of 0 count as the rate at which the upstream is asked again; times stay within 5 s.

--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_limits.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_limits.py
@@ -21,6 +21,8 @@
 MAX_SINGLE_PER_S = 20.0
 # With more routers than this, each zone has a fixed share of a higher limit.
 MAX_GROUP = 128
+# Callers are told to come back within this time, however many were refused.
+MAX_RETURN_MS = 5_000.0
 # How long the end of a limit is remembered, so that an older report of a peer does
 # not bring it back.
 ENDED_RETENTION_MS = 10_000.0
@@ -159,13 +161,18 @@
 
         Callers are let in one after the other, as fast as the limits allow.
         """
-        limited = [x.incarnation for x in upstreams if self.limit_per_s(x.incarnation)]
-        rate_per_s = sum(self._share_per_s(item) for item in limited)
-        if not limited or not rate_per_s:
+        limited = [
+            item.incarnation
+            for item in upstreams
+            if self.limit_per_s(item.incarnation) is not None
+        ]
+        if not limited:
             return None
+        rate_per_s = sum(self._share_per_s(item) for item in limited)
         first_ms = now_ms + min(self._wait_ms(item, now_ms) for item in limited)
         due_ms = max(first_ms, self._return_due_ms.get(service, 0.0))
-        self._return_due_ms[service] = due_ms + self.n_routers * MS_PER_S / rate_per_s
+        next_due_ms = due_ms + self.n_routers * MS_PER_S / rate_per_s
+        self._return_due_ms[service] = min(next_due_ms, now_ms + MAX_RETURN_MS)
         return due_ms - now_ms
 
     def keep_only(self, upstreams: set[Incarnation], now_ms: float) -> None:
