Take a zone for lost only once an upstream of it is found dead

Cause: one broken connection made its zone suspect for 1.5 s at all routers. Class of fault: weak evidence announced as strong.

Change: a broken connection counts against its upstream alone; the upstream is probed as before, and the zone is announced as lost if the probe is refused. Refused connections and silence announce as before.

--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -297,6 +297,7 @@
                 self.now_ms() - died_at_ms,
             )
             self.context.quarantine.engine_died(lost, prompt, self.now_ms())
+            self.context.on_upstream_dead(upstream)
             self.on_upstream_died()
 
         self.context.prober.probe(upstream, on_result)
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -74,5 +74,7 @@
     quarantine: Quarantine
     logs: LogLimiter
     metrics: ForwardingMetrics
+    # Called with an upstream that was found dead after its connection broke.
+    on_upstream_dead: Callable[[ListedUpstream], None]
     # Called with the upstream and the head of each response.
     on_response: Callable[[ListedUpstream, ResponseHead], None]
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -119,6 +119,7 @@
             self.quarantine,
             self._logs,
             self.metrics,
+            self._on_upstream_dead,
             self._on_response,
         )
 
@@ -163,6 +164,9 @@
             request_hash=hash_of_request,
         )
 
+    def _on_upstream_dead(self, upstream: ListedUpstream) -> None:
+        self.placement.health.record_zone_loss(upstream.zone, self._clock.now_ms())
+
     def _on_response(self, upstream: ListedUpstream, head: ResponseHead) -> None:
         if head.is_rejected and head.limit_per_s is None:
             # Only a response to a request that ran shows that there is no limit.
--- a/packages/kernel/bronzeline_kernel/forwarding/fault_evidence.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/fault_evidence.py
@@ -12,10 +12,12 @@
 def record_fault(
     placement: Placement, upstream: ListedUpstream, fault: Fault, now_ms: float
 ) -> None:
-    """Update the health of an upstream, and of its zone, after a failed attempt."""
-    if fault in {Fault.UNREACHABLE, Fault.BROKEN, Fault.SILENT}:
-        zone = (upstream.service, upstream.availability_zone)
-        placement.health.record_zone_loss(zone, now_ms)
+    """Update the health of an upstream, and of its zone, after a failed attempt.
+
+    A broken connection alone says little about the zone: the upstream is probed.
+    """
+    if fault in {Fault.UNREACHABLE, Fault.SILENT}:
+        placement.health.record_zone_loss(upstream.zone, now_ms)
     if fault is Fault.FULL:
         placement.health.record_full(upstream.incarnation, now_ms)
     elif fault is Fault.REPLACED:
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -171,6 +171,10 @@
         self._suspect_zone(zone, now_ms, is_own=True)
         self.on_zone_lost(zone)
 
+    def suspect_zone(self, zone: Zone, now_ms: float) -> None:
+        """Suspect a zone without announcing it, until its upstreams are probed."""
+        self._suspect_zone(zone, now_ms, is_own=True)
+
     def record_peer_zone_loss(self, zone: Zone, now_ms: float) -> None:
         """Record a zone loss that a peer reported, without announcing it."""
         self._suspect_zone(zone, now_ms, is_own=False)
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -221,8 +221,7 @@
 
     def is_keeper_available(self, keeper: ListedUpstream, now_ms: float) -> bool:
         """Return whether the keeper of a copy, and its zone, seem to be alive."""
-        zone = (keeper.service, keeper.availability_zone)
-        if self.health.is_zone_suspect(zone, keeper.incarnation, now_ms):
+        if self._is_zone_suspect(keeper, now_ms):
             return False
         return self.may_keeper_hold(keeper, now_ms)
 
@@ -361,8 +360,7 @@
         )
 
     def _is_zone_suspect(self, upstream: ListedUpstream, now_ms: float) -> bool:
-        zone = (upstream.service, upstream.availability_zone)
-        return self.health.is_zone_suspect(zone, upstream.incarnation, now_ms)
+        return self.health.is_zone_suspect(upstream.zone, upstream.incarnation, now_ms)
 
     def _total_load(self, upstream_id: str, peers: PeerLoads) -> Load:
         """Return the sum of this router's and the peers' load on an upstream."""
--- a/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
@@ -154,7 +154,7 @@
 
     def _record_engine(self, lost: EngineLost, now_ms: float, *, is_own: bool) -> None:
         self.requests.engine_lost(lost, now_ms, is_own)
-        zone = (lost.service, lost.availability_zone)
+        zone = lost.zone
         # Peers announce a death once no other engine of the zone can have died with it.
         age_ms = 0.0 if is_own else self.requests.options.zone_window_ms
         self.parts.engine_died(zone, lost.upstream_id, now_ms - age_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from bronzeline_kernel.forwarding.block_list import BlockList, request_key
+from bronzeline_kernel.forwarding.health import Zone
 from bronzeline_kernel.quarantine import BlameTracker
 
 __all__ = [
@@ -30,6 +31,11 @@
     availability_zone: str
     ran_ms: dict[str, float]
 
+    @property
+    def zone(self) -> Zone:
+        """Return the service and the availability zone."""
+        return self.service, self.availability_zone
+
 
 @dataclass(frozen=True)
 class QuarantinedRequest:
@@ -76,7 +82,7 @@
         """Record an engine death that this router or a peer detected."""
         death = PendingDeath(lost, now_ms, is_own)
         for other in self._pending:
-            if self._is_same_zone(other.lost, lost):
+            if other.lost.zone == lost.zone:
                 if other.lost.upstream_id != lost.upstream_id:
                     other.is_zone_loss = death.is_zone_loss = True
                 else:
@@ -132,10 +138,3 @@
         self.on_quarantined(
             QuarantinedRequest(request_hash, tuple(upstream_ids), for_ms)
         )
-
-    @staticmethod
-    def _is_same_zone(one: EngineLost, other: EngineLost) -> bool:
-        return (one.service, one.availability_zone) == (
-            other.service,
-            other.availability_zone,
-        )
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -35,6 +35,11 @@
         """Return the id and start time; a restarted upstream may keep its id."""
         return self.upstream_id, self.started_at_ms
 
+    @property
+    def zone(self) -> tuple[str, str]:
+        """Return the service and the availability zone."""
+        return self.service, self.availability_zone
+
     @property
     def address(self) -> Address:
         """Return the host and port."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -88,6 +88,20 @@
         other = driver.fail_attempt(2, Fault.UNREACHABLE)[0]
         self.assertNotEqual(other.upstream, first.upstream)
 
+    @params((Fault.BROKEN, 0), (Fault.SILENT, 1), (Fault.UNREACHABLE, 1))
+    def test_a_zone_is_announced_as_lost_only_with_a_sign_of_it(self, fault, expected):
+        driver = Driver()
+        reported = []
+        driver.placement.health.on_zone_lost = reported.append
+        first = driver.start()
+        second = driver.fail_attempt(1, fault)[0]
+        self.assertEqual(len(reported), expected)
+        is_same = second.upstream == first.upstream
+        is_other_zone = (
+            second.upstream.availability_zone != first.upstream.availability_zone
+        )
+        self.assertTrue(is_same or is_other_zone)
+
     def test_avoids_all_upstreams_of_a_lost_zone(self):
         driver = Driver(per_zone=3)
         first = driver.start()
