Split copies and silence from the state machine of a stream

Change: StreamCopies finds and keeps up copies; silence_limit_ms and probe_interval_ms decide how long an upstream may be silent. No decision changes.

--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_copies.py
@@ -0,0 +1,67 @@
+"""Find and keep up the copies from which a stream can resume."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bronzeline_kernel.forwarding.messages import CopyRun, CopySource
+from bronzeline_kernel.forwarding.placement import Placement
+from bronzeline_kernel.forwarding.stream_attempt import Attempt
+from bronzeline_kernel.forwarding.stream_options import StreamOptions
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
+
+__all__ = ["StreamCopies"]
+
+
+@dataclass(frozen=True)
+class StreamCopies:
+    """Relate the copies of one stream's attempts to the health of their keepers."""
+
+    request_id: str
+    placement: Placement
+    options: StreamOptions
+
+    def best(self, attempt: Attempt, now_ms: float) -> CopySource | None:
+        """Return a copy whose keeper seems to be alive, None without one."""
+        for copy in attempt.copies(self.request_id):
+            if self.placement.is_keeper_available(copy.keeper, now_ms):
+                return copy
+        return None
+
+    def to_try(self, attempt: Attempt, now_ms: float) -> CopySource | None:
+        """Return the copy to resume from, also one whose keeper's zone is suspect.
+
+        A dead keeper is noticed soon, and reading the prompt again takes longer.
+        """
+        copy = self.best(attempt, now_ms)
+        if copy is not None:
+            return copy
+        for copy in attempt.copies(self.request_id):
+            if self.placement.may_keeper_hold(copy.keeper, now_ms):
+                return copy
+        return None
+
+    def may_resume_on(self, keeper: ListedUpstream, now_ms: float) -> bool:
+        """Return whether the limit of a keeper leaves room for a resume."""
+        return self.placement.limits.may_send_ahead(keeper.incarnation, now_ms)
+
+    def maintain(self, attempt: Attempt, now_ms: float) -> CopyRun | None:
+        """Return the request for a new or fresher copy, if one is due.
+
+        The engine itself keeps up the copy at the keeper sent with the attempt, until
+        that keeper is lost.
+        """
+        if not attempt.has_events or attempt.copy_to is None:
+            return None
+        if now_ms < attempt.copy_due_ms:
+            return None
+        is_available = self.placement.is_keeper_available
+        if attempt.copy is None and is_available(attempt.copy_to, now_ms):
+            return None
+        keeper = attempt.copy.keeper if attempt.copy else None
+        if keeper is None or not is_available(keeper, now_ms):
+            keeper = self.placement.choose_for_copy(attempt.upstream, now_ms)
+        if keeper is None:
+            return None
+        attempt.copy_due_ms = now_ms + self.options.copy_refresh_ms
+        return CopyRun(attempt.number, attempt.upstream, keeper)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -12,7 +12,6 @@
     Abandon,
     Action,
     CallerRequest,
-    CopyRun,
     CopySource,
     DropCopy,
     Fail,
@@ -27,9 +26,14 @@
 from bronzeline_kernel.forwarding.prompt_index import Prompt
 from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
+from bronzeline_kernel.forwarding.stream_copies import StreamCopies
 from bronzeline_kernel.forwarding.stream_evidence import StreamEvidence
 from bronzeline_kernel.forwarding.stream_limits import stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
+from bronzeline_kernel.forwarding.stream_silence import (
+    probe_interval_ms,
+    silence_limit_ms,
+)
 from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
 
 __all__ = ["StreamRun"]
@@ -94,7 +98,7 @@
     def copy(self, now_ms: float) -> CopySource | None:
         """Return the copy that the stream could resume from, None without one."""
         attempt = self.attempt
-        return None if attempt is None else self._copy_of(attempt, now_ms)
+        return None if attempt is None else self._copies().best(attempt, now_ms)
 
     def accept_event(self, number: int, event_id: int, now_ms: float) -> bool:
         """Record an event; return whether it is the next one of the response."""
@@ -193,8 +197,9 @@
         if silent_ms >= self._silence_limit_ms(attempt, now_ms):
             return self._abandon_silent(attempt, now_ms)
         if silent_ms < attempt.limits.probe_after_ms:
-            return self._maintain_copy(attempt, now_ms)
-        if now_ms - attempt.probed_at_ms < self._probe_interval_ms(attempt):
+            copy_request = self._copies().maintain(attempt, now_ms)
+            return [] if copy_request is None else [copy_request]
+        if now_ms - attempt.probed_at_ms < probe_interval_ms(attempt, self.options):
             return []
         attempt.probed_at_ms = now_ms
         return [Probe(attempt.upstream)]
@@ -237,45 +242,17 @@
             return False
         return self.attempt.number == number
 
+    def _copies(self) -> StreamCopies:
+        return StreamCopies(self.request.request_id, self.placement, self.options)
+
     def _silence_limit_ms(self, attempt: Attempt, now_ms: float) -> float:
-        limits = attempt.limits
-        if attempt.has_events:
-            if self._copy_of(attempt, now_ms) is not None:
-                return limits.silence_limit_ms
-            return limits.silence_limit_without_copy_ms
-        if attempt.is_from_copy:
-            return limits.copy_first_event_ms
-        last_alive_at_ms = self.placement.health.last_alive_at_ms(
-            attempt.upstream.incarnation
+        return silence_limit_ms(
+            attempt,
+            self.placement.health,
+            self.options,
+            now_ms,
+            has_copy=self._copies().best(attempt, now_ms) is not None,
         )
-        if now_ms - last_alive_at_ms < self.options.recently_alive_ms:
-            return limits.first_event_busy_ms
-        return limits.first_event_ms
-
-    def _probe_interval_ms(self, attempt: Attempt) -> float:
-        options = self.options
-        if attempt.has_events or attempt.is_from_copy:
-            return options.probe_interval_ms
-        return options.prompt_probe_interval_ms
-
-    def _maintain_copy(self, attempt: Attempt, now_ms: float) -> list[Action]:
-        """Request or refresh a copy once the keeper sent with the attempt is lost."""
-        if not attempt.has_events or attempt.copy_to is None:
-            return []
-        if now_ms < attempt.copy_due_ms:
-            return []
-        if attempt.copy is None and self._is_keeper_available(attempt.copy_to, now_ms):
-            return []
-        keeper = attempt.copy.keeper if attempt.copy else None
-        if keeper is None or not self._is_keeper_available(keeper, now_ms):
-            keeper = self.placement.choose_for_copy(attempt.upstream, now_ms)
-        if keeper is None:
-            return []
-        attempt.copy_due_ms = now_ms + self.options.copy_refresh_ms
-        return [CopyRun(attempt.number, attempt.upstream, keeper)]
-
-    def _is_keeper_available(self, keeper: ListedUpstream, now_ms: float) -> bool:
-        return self.placement.is_keeper_available(keeper, now_ms)
 
     def _drop_copy(self) -> list[Action]:
         attempt = self.attempt
@@ -296,9 +273,6 @@
         self.n_lost += 1
         return [Abandon(attempt.number), *self._resume(attempt, Fault.SILENT, now_ms)]
 
-    def _may_resume_on(self, upstream: ListedUpstream, now_ms: float) -> bool:
-        return self.placement.limits.may_send_ahead(upstream.incarnation, now_ms)
-
     def _may_retry_same_upstream(
         self, attempt: Attempt, fault: Fault, now_ms: float
     ) -> bool:
@@ -326,8 +300,8 @@
         if obstacle:
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
-        copy = self._copy_to_try(attempt, now_ms)
-        if copy is not None and self._may_resume_on(copy.keeper, now_ms):
+        copy = self._copies().to_try(attempt, now_ms)
+        if copy is not None and self._copies().may_resume_on(copy.keeper, now_ms):
             return [self._send(copy.keeper, now_ms, copy)]
         if self._may_retry_same_upstream(attempt, fault, now_ms):
             return [self._send(attempt.upstream, now_ms)]
@@ -371,7 +345,7 @@
         copy = self.find_copy(now_ms)
         if copy is None or not self.placement.may_keeper_hold(copy.keeper, now_ms):
             return []
-        if not self._may_resume_on(copy.keeper, now_ms):
+        if not self._copies().may_resume_on(copy.keeper, now_ms):
             return []
         return [self._send(copy.keeper, now_ms, copy)]
 
@@ -460,26 +434,6 @@
             self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to, choice
         )
 
-    def _copy_of(self, attempt: Attempt, now_ms: float) -> CopySource | None:
-        """Return a copy whose keeper seems to be alive."""
-        for copy in attempt.copies(self.request.request_id):
-            if self._is_keeper_available(copy.keeper, now_ms):
-                return copy
-        return None
-
-    def _copy_to_try(self, attempt: Attempt, now_ms: float) -> CopySource | None:
-        """Return the copy to resume from, also one whose keeper's zone is suspect.
-
-        A dead keeper is noticed soon, and reading the prompt again takes longer.
-        """
-        copy = self._copy_of(attempt, now_ms)
-        if copy is not None:
-            return copy
-        for copy in attempt.copies(self.request.request_id):
-            if self.placement.may_keeper_hold(copy.keeper, now_ms):
-                return copy
-        return None
-
     def _record_fault(self, attempt: Attempt, fault: Fault, now_ms: float) -> None:
         self._tried.add(attempt.upstream.incarnation)
         if attempt.is_from_copy and fault is Fault.FULL:
