Split the log of events and the check of deaths from the forwarding service

Change: EventLog writes what placement and quarantine report; DeathCheck probes the upstream of a broken attempt and reports its death. No decision changes.

--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/event_log.py
@@ -0,0 +1,92 @@
+"""Log what a router decides beside its requests, one line each."""
+
+from __future__ import annotations
+
+from bronzeline_daemon.log_limits import LogLimiter
+from bronzeline_kernel.forwarding import (
+    BeliefChange,
+    Block,
+    Conviction,
+    EngineLost,
+    LimitChange,
+    PartsAnswered,
+    Placement,
+    Quarantine,
+    QuarantinedRequest,
+)
+
+__all__ = ["EventLog"]
+
+
+class EventLog:
+    """Write the events of placement and quarantine to the log."""
+
+    def __init__(self, logs: LogLimiter) -> None:
+        self._logs = logs
+
+    def subscribe(self, placement: Placement, quarantine: Quarantine) -> None:
+        """Start to log what they report."""
+        placement.health.on_belief = self._on_belief_changed
+        placement.limits.on_change = self._on_limit_changed
+        quarantine.requests.on_quarantined = self._on_request_quarantined
+        quarantine.requests.on_zone_loss = self._on_zone_loss
+        quarantine.on_convicted = self._on_parts_quarantined
+        quarantine.on_block_learned = self._on_block_learned
+        quarantine.on_answered = self._on_parts_answered
+
+    def _on_belief_changed(self, change: BeliefChange) -> None:
+        self._logs.info(
+            "belief_changed",
+            subject=change.subject,
+            belief=change.belief.value,
+            for_ms=round(change.for_ms),
+            source=_source(change.is_own),
+        )
+
+    def _on_limit_changed(self, change: LimitChange) -> None:
+        self._logs.info(
+            "limit_changed",
+            upstream_id=change.upstream_id,
+            limit_per_s=change.limit_per_s,
+            source=_source(change.is_own),
+        )
+
+    def _on_request_quarantined(self, quarantined: QuarantinedRequest) -> None:
+        self._logs.warn(
+            "request_quarantined",
+            request_hash=quarantined.request_hash,
+            upstream_ids=",".join(quarantined.upstream_ids),
+            for_ms=round(quarantined.for_ms),
+        )
+
+    def _on_parts_quarantined(self, conviction: Conviction) -> None:
+        self._logs.warn(
+            "parts_quarantined",
+            parts=",".join(conviction.part_ids),
+            upstream_ids=",".join(conviction.upstream_ids),
+            n_requests=conviction.n_requests,
+            source=_source(conviction.has_own),
+        )
+
+    def _on_block_learned(self, block: Block) -> None:
+        self._logs.warn(
+            "block_learned",
+            keys=",".join(block.keys),
+            is_lifted=block.is_lifted,
+            for_ms=round(block.remaining_ms),
+        )
+
+    def _on_parts_answered(self, answered: PartsAnswered) -> None:
+        self._logs.warn("parts_released", parts=",".join(answered.part_ids))
+
+    def _on_zone_loss(self, lost: EngineLost) -> None:
+        self._logs.info(
+            "engine_death_not_blamed",
+            upstream_id=lost.upstream_id,
+            reason="other engines of its zone died at the same time",
+            n_requests=len(lost.ran_ms),
+        )
+
+
+def _source(is_own: bool) -> str:
+    return "own" if is_own else "peer"
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -10,6 +10,7 @@
 from bronzeline_daemon.forwarding.attempt_buffers import AttemptBuffers
 from bronzeline_daemon.forwarding.attempt_fields import attempt_fields, attempt_origin
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
+from bronzeline_daemon.forwarding.death_check import DeathCheck
 from bronzeline_daemon.forwarding.relay_context import (
     RelayContext,
     RequestMachine,
@@ -23,14 +24,12 @@
     CopyRun,
     CopySource,
     DropCopy,
-    EngineLost,
     Fail,
     Failure,
     Fault,
     FindEarlierRun,
     Finish,
     Probe,
-    PromptLost,
     ResponseHead,
     Send,
     WorkspaceKeys,
@@ -48,8 +47,6 @@
 GOOD_OUTCOMES = frozenset({SERVED, CALLER_LEFT})
 # A timer this late means that the process did not run.
 STALL_MS = 150.0
-# Their ids fit into one datagram; prompts consist of far fewer parts.
-MAX_REPORTED_PARTS = 64
 
 
 class Relay:
@@ -270,37 +267,13 @@
             n_events=self.n_events(number),
         )
         if fault is Fault.BROKEN:
-            self._check_upstream_alive(self._attempts[number])
-
-    def _check_upstream_alive(self, attempt: Attempt) -> None:
-        """Probe whether the upstream died during an attempt, and record a death."""
-        upstream = attempt.send.upstream
-        died_at_ms = self.now_ms()
-        ran_ms = died_at_ms - attempt.started_at_ms
-        part_ids = self.unanswered_parts()
-
-        def on_result(incarnation: tuple[str, int], is_alive: bool) -> None:
-            if is_alive:
-                return
-            lost = EngineLost(
-                upstream.upstream_id,
-                upstream.service,
-                upstream.availability_zone,
-                {self._request_hash: ran_ms},
-            )
-            prompt = PromptLost(
-                upstream.upstream_id,
-                upstream.service,
-                upstream.availability_zone,
+            check = DeathCheck(
+                self.context,
                 self._request_hash,
-                part_ids[:MAX_REPORTED_PARTS],
-                self.now_ms() - died_at_ms,
+                self.unanswered_parts(),
+                self.on_upstream_died,
             )
-            self.context.quarantine.engine_died(lost, prompt, self.now_ms())
-            self.context.on_upstream_dead(upstream)
-            self.on_upstream_died()
-
-        self.context.prober.probe(upstream, on_result)
+            check.start(self._attempts[number])
 
     def _fail(self, action: Fail) -> None:
         status = STATUS_OF_FAILURE[action.failure]
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -10,6 +10,7 @@
 from bronzeline_daemon.forwarding.connection_pool import ConnectionPool
 from bronzeline_daemon.forwarding.earlier_run_finder import EarlierRunFinder
 from bronzeline_daemon.forwarding.engine_adopter import EngineAdopter
+from bronzeline_daemon.forwarding.event_log import EventLog
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
@@ -21,23 +22,17 @@
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.forwarding import (
     Admitted,
-    BeliefChange,
     Block,
     BudgetShare,
     CallerLimits,
     CallerRequest,
     CallRun,
-    Conviction,
     EngineClient,
-    EngineLost,
     ForwardingSettings,
     ForwardingView,
-    LimitChange,
     ListedUpstream,
-    PartsAnswered,
     Placement,
     Quarantine,
-    QuarantinedRequest,
     Refusal,
     Refused,
     ResponseHead,
@@ -98,14 +93,8 @@
         self.stop_plan: StopPlan | None = None
         self.metrics = ForwardingMetrics()
         self._logs = LogLimiter(clock, settings.router_id)
-        self.placement.health.on_belief = self._on_belief_changed
         self.placement.health.on_replaced = self._on_replaced
-        self.placement.limits.on_change = self._on_limit_changed
-        self.quarantine.requests.on_quarantined = self._on_quarantined
-        self.quarantine.requests.on_zone_loss = self._on_zone_loss
-        self.quarantine.on_convicted = self._on_parts_quarantined
-        self.quarantine.on_block_learned = self._on_block_learned
-        self.quarantine.on_answered = self._on_parts_answered
+        EventLog(self._logs).subscribe(self.placement, self.quarantine)
         self._relay_context = RelayContext(
             clock,
             self.connection_pool,
@@ -175,63 +164,10 @@
             upstream.incarnation, head.limit_per_s, self._clock.now_ms()
         )
 
-    def _on_limit_changed(self, change: LimitChange) -> None:
-        self._logs.info(
-            "limit_changed",
-            upstream_id=change.upstream_id,
-            limit_per_s=change.limit_per_s,
-            source="own" if change.is_own else "peer",
-        )
-
     def _on_replaced(self, upstream: tuple[str, int]) -> None:
         self.peers.report_replaced(upstream)
         self._engine_adopter.on_replaced(upstream[0])
 
-    def _on_belief_changed(self, change: BeliefChange) -> None:
-        self._logs.info(
-            "belief_changed",
-            subject=change.subject,
-            belief=change.belief.value,
-            for_ms=round(change.for_ms),
-            source="own" if change.is_own else "peer",
-        )
-
-    def _on_quarantined(self, quarantined: QuarantinedRequest) -> None:
-        self._logs.warn(
-            "request_quarantined",
-            request_hash=quarantined.request_hash,
-            upstream_ids=",".join(quarantined.upstream_ids),
-            for_ms=round(quarantined.for_ms),
-        )
-
-    def _on_parts_quarantined(self, conviction: Conviction) -> None:
-        self._logs.warn(
-            "parts_quarantined",
-            parts=",".join(conviction.part_ids),
-            upstream_ids=",".join(conviction.upstream_ids),
-            n_requests=conviction.n_requests,
-            source="own" if conviction.has_own else "peers",
-        )
-
-    def _on_block_learned(self, block: Block) -> None:
-        self._logs.warn(
-            "block_learned",
-            keys=",".join(block.keys),
-            is_lifted=block.is_lifted,
-            for_ms=round(block.remaining_ms),
-        )
-
-    def _on_parts_answered(self, answered: PartsAnswered) -> None:
-        self._logs.warn("parts_released", parts=",".join(answered.part_ids))
-
-    def _on_zone_loss(self, lost: EngineLost) -> None:
-        self._logs.info(
-            "engine_death_not_blamed",
-            upstream_id=lost.upstream_id,
-            reason="other engines of its zone died at the same time",
-            n_requests=len(lost.ran_ms),
-        )
-
     def _lease_age_ms(self) -> int | None:
         age_ms = self._view.lease.age_ms(self._clock.now_ms())
         return round(age_ms) if math.isfinite(age_ms) else None
