Compare a request with few blocks, and ignore one without keys

Cause: each request, and each stream without events every 50 ms, was compared with all blocks, of which there may be a thousand. A record without keys would have matched all.

Change: blocks are found by their first key; records without keys are ignored.

--- a/packages/kernel/bronzeline_kernel/forwarding/block_list.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/block_list.py
@@ -57,6 +57,9 @@
 
     def __init__(self) -> None:
         self._records: dict[tuple[str, ...], BlockRecord] = {}
+        # The records' keys by the first of them, so that a request is compared with
+        # few blocks.
+        self._by_first_key: dict[str, set[tuple[str, ...]]] = {}
 
     def __len__(self) -> int:
         """Return the number of records, also of blocks that have ended."""
@@ -71,13 +74,11 @@
 
     def find(self, keys: Collection[str], now_ms: float) -> Block | None:
         """Return a block that refuses a request with these keys, or None."""
-        if not self._records:
-            return None
-        available = set(keys)
-        for block_keys, record in self._records.items():
-            is_active = not record.is_lifted and now_ms < record.expires_at_ms
-            if is_active and available.issuperset(block_keys):
-                return _to_block(block_keys, record, now_ms)
+        for key in keys:
+            for block_keys in self._by_first_key.get(key, ()):
+                block = _to_block(block_keys, self._records[block_keys], now_ms)
+                if block.is_active and set(keys).issuperset(block_keys):
+                    return block
         return None
 
     def has_expired(self, keys: Iterable[str], now_ms: float) -> bool:
@@ -103,8 +104,11 @@
         return changed
 
     def merge(self, blocks: Iterable[Block], now_ms: float) -> list[Block]:
-        """Take over a peer's records where they are newer; return those."""
-        newer = [item for item in blocks if self._is_newer(item)]
+        """Take over a peer's records where they are newer; return those.
+
+        One without keys would refuse all requests, and is ignored.
+        """
+        newer = [item for item in blocks if item.keys and self._is_newer(item)]
         for item in newer:
             self._put(item, now_ms)
         return newer
@@ -127,7 +131,7 @@
         """Drop the records of blocks that ended long ago."""
         for keys, record in list(self._records.items()):
             if now_ms - record.expires_at_ms >= RETENTION_MS:
-                del self._records[keys]
+                self._remove(keys)
 
     def _is_newer(self, block: Block) -> bool:
         known = self._records.get(block.keys)
@@ -137,14 +141,23 @@
 
     def _put(self, block: Block, now_ms: float) -> Block:
         expires_at_ms = now_ms + block.remaining_ms
-        self._records.pop(block.keys, None)
+        self._remove(block.keys)
         self._records[block.keys] = BlockRecord(
             block.round, block.is_lifted, expires_at_ms
         )
+        self._by_first_key.setdefault(block.keys[0], set()).add(block.keys)
         while len(self._records) > MAX_BLOCKS:
-            del self._records[next(iter(self._records))]
+            self._remove(next(iter(self._records)))
         return block
 
+    def _remove(self, keys: tuple[str, ...]) -> None:
+        if self._records.pop(keys, None) is None:
+            return
+        others = self._by_first_key[keys[0]]
+        others.discard(keys)
+        if not others:
+            del self._by_first_key[keys[0]]
+
 
 def _to_block(keys: tuple[str, ...], record: BlockRecord, now_ms: float) -> Block:
     remaining_ms = record.expires_at_ms - now_ms
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/block_list_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/block_list_tests.py
@@ -55,6 +55,10 @@
         (record,) = self.blocks.blocks(0.0)
         self.assertEqual((record.is_lifted, record.remaining_ms), (is_lifted, left_ms))
 
+    def test_a_record_without_keys_is_ignored(self):
+        self.assertEqual(self.blocks.merge([Block((), 1, False, FOR_MS)], 0.0), [])
+        self.assertIsNone(self.blocks.find(ONE, 0.0))
+
     def test_a_lifted_block_does_not_come_back_from_a_peer(self):
         peer = BlockList()
         peer.add(ONE, FOR_MS, 0.0)
@@ -79,5 +83,7 @@
         for number in range(1_500):
             self.blocks.add((f"part:{number}",), FOR_MS, 0.0)
         self.assertEqual(len(self.blocks), 1_000)
+        self.assertIsNone(self.blocks.find(("part:499",), 0.0))
+        self.assertIsNotNone(self.blocks.find(("part:500",), 0.0))
         self.blocks.expire(FOR_MS + 600_000.0)
         self.assertEqual((len(self.blocks), self.blocks.digest()), (0, 0))
