--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_limits.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_limits.py
@@ -22,7 +22,9 @@
 # With more routers than this, each zone has a fixed share of a higher limit.
 MAX_GROUP = 128
 # Callers are told to come back within this time, however many were refused.
-MAX_RETURN_MS = 5_000.0
+MAX_RETURN_MS = 12_000.0
+# Callers that come for the first time take the rest of what the limits allow.
+RETURN_SHARE = 0.5
 # How long the end of a limit is remembered, so that an older report of a peer does
 # not bring it back.
 ENDED_RETENTION_MS = 10_000.0
@@ -168,7 +170,7 @@
         ]
         if not limited:
             return None
-        rate_per_s = sum(self._share_per_s(item) for item in limited)
+        rate_per_s = RETURN_SHARE * sum(self._share_per_s(item) for item in limited)
         first_ms = now_ms + min(self._wait_ms(item, now_ms) for item in limited)
         due_ms = max(first_ms, self._return_due_ms.get(service, 0.0))
         next_due_ms = due_ms + self.n_routers * MS_PER_S / rate_per_s
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_limits_load_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_limits_load_tests.py
@@ -6,6 +6,8 @@
 from nose2.tools import params
 
 from bronzeline_kernel.forwarding import UpstreamLimits
+from bronzeline_kernel.forwarding.return_times import useful_return_ms
+from bronzeline_kernel.tests.forwarding.samples import upstream
 
 UPSTREAM = ("u", 1)
 STEP_MS = 5.0
@@ -16,6 +18,8 @@
 # The platform counts what routers send later than 500 ms after a response with the
 # limit has passed through them.
 KNOWN_AFTER_MS = 600.0
+# The share of those told a time that should be served at that time.
+MIN_SERVED_AT_RETURN = 0.95
 
 
 class LimitPlayer:
@@ -93,6 +97,52 @@
         )
 
 
+class ReturnPlayer(LimitPlayer):
+    """Let refused callers come back once, at the time that they were told."""
+
+    CREST_FROM_MS, CREST_TO_MS = 5_000.0, 8_000.0
+
+    def __init__(self, base_per_s, crest_per_s, budget_ms, fixed_return_ms=None):
+        super().__init__(n_routers=9, limit_per_s=6.0, demand_per_s=base_per_s)
+        self.base_per_s = base_per_s
+        self.crest_per_s = crest_per_s
+        self.budget_ms = budget_ms
+        self.fixed_return_ms = fixed_return_ms
+        self.returns_ms = []
+        self.n_refused = 0
+        self.n_served_at_return = 0
+
+    def play(self, until_ms=LENGTH_MS):
+        while self.now_ms < until_ms:
+            is_crest = self.CREST_FROM_MS <= self.now_ms < self.CREST_TO_MS
+            self.demand_per_s = self.crest_per_s if is_crest else self.base_per_s
+            super().play(self.now_ms + STEP_MS)
+            due = [at_ms for at_ms in self.returns_ms if at_ms <= self.now_ms]
+            self.returns_ms = [
+                at_ms for at_ms in self.returns_ms if at_ms > self.now_ms
+            ]
+            for _ in due:
+                limits = self.random.choice(self.routers)
+                if limits.may_send(UPSTREAM, self.now_ms):
+                    limits.record_send(UPSTREAM, self.now_ms)
+                    self.n_served_at_return += 1
+
+    def request(self, number):
+        n_sent = len(self.sent_ms)
+        super().request(number)
+        if len(self.sent_ms) > n_sent or self.now_ms < KNOWN_AFTER_MS:
+            return
+        entries = [upstream(UPSTREAM[0], started=UPSTREAM[1])]
+        limits = self.routers[number]
+        return_ms = self.fixed_return_ms
+        if return_ms is None:
+            return_ms = limits.return_after_ms("orders", entries, self.now_ms)
+        self.returns_ms.append(
+            self.now_ms + useful_return_ms(return_ms, self.budget_ms)
+        )
+        self.n_refused += 1
+
+
 class LimitLoadTests(unittest.TestCase):
     @params(
         (9, 1.1, 13.0, 0.0),
@@ -125,6 +175,29 @@
         player.play()
         self.assertGreaterEqual(len(player.sent_ms), 0.9 * player.n_wanted)
 
+    @params(1.5, 3.0)
+    def test_callers_refused_in_a_crest_are_served_when_they_come_back(
+        self, base_per_s
+    ):
+        player = ReturnPlayer(base_per_s, 15.0, 25_000.0)
+        player.play(LENGTH_MS + 12_000.0)
+        self.assertGreater(player.n_refused, 20)
+        share = player.n_served_at_return / player.n_refused
+        self.assertGreaterEqual(share, MIN_SERVED_AT_RETURN)
+
+    @params(1.5, 3.0)
+    def test_more_are_served_at_return_than_without_an_order_of_return(
+        self, base_per_s
+    ):
+        player = ReturnPlayer(base_per_s, 15.0, 25_000.0)
+        player.play(LENGTH_MS + 12_000.0)
+        other = ReturnPlayer(base_per_s, 15.0, 25_000.0, fixed_return_ms=150.0)
+        other.play(LENGTH_MS + 12_000.0)
+        self.assertGreater(
+            player.n_served_at_return / player.n_refused,
+            other.n_served_at_return / other.n_refused,
+        )
+
     def test_a_limit_costs_each_router_its_rate_in_messages(self):
         for n_routers in (9, 90):
             player = LimitPlayer(n_routers, 2.0, 50.0)
