Tell single deaths in a large zone from its loss

Cause: two requests of one zone's engines that died within 500 ms of each other, or three for the parts of prompts, were taken for the loss of the zone, whatever its size. In a zone of 40 engines a part that ends ten a second was never blamed: no moment has fewer than three deaths. Found by reading, as no site has such zones.

Change: a zone is lost when more than a fifth of its engines die together, and more than one, or two for parts. Both kinds of blame use the same rule.

Measured: 20 engines of a zone of 40, one each 100 ms: the part is blamed now, not before; 30 at once are still the loss of a zone.

--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -43,6 +43,7 @@
     UpstreamHealth,
     WireFormat,
     WorkKind,
+    Zone,
     admit,
     request_hash,
 )
@@ -82,7 +83,7 @@
         self.placement = Placement(
             settings.availability_zone, view.upstreams, UpstreamHealth(), random
         )
-        self.quarantine = Quarantine(random)
+        self.quarantine = Quarantine(random, self._n_engines)
         self._runs = RunDirectory(view.upstreams)
         self.peers = ForwardingPeers(
             settings, self.placement, self._runs, self.quarantine, clock, random
@@ -153,6 +154,11 @@
             request_hash=hash_of_request,
         )
 
+    def _n_engines(self, zone: Zone) -> int:
+        service, zone_name = zone
+        by_zone = self._view.upstreams.usable_by_zone(service, self._clock.now_ms())
+        return len(by_zone.get(zone_name, ()))
+
     def _on_upstream_dead(self, upstream: ListedUpstream) -> None:
         self.placement.health.record_zone_loss(upstream.zone, self._clock.now_ms())
 
--- a/packages/kernel/bronzeline_kernel/forwarding/part_blame.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/part_blame.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from bronzeline_kernel.forwarding.health import Zone
+from bronzeline_kernel.forwarding.zone_losses import EngineCount, is_zone_loss
 
 __all__ = ["Conviction", "PartBlame", "PartBlameOptions", "PromptLost"]
 
@@ -41,7 +42,8 @@
 
     # Engines of one zone that die within this time of each other count once.
     together_ms: float = 500.0
-    # Of more engines together the cause is their zone rather than a prompt.
+    # Of more engines together the cause is their zone rather than a prompt, unless
+    # they are a small share of it.
     max_together: int = 2
     # Peers report deaths after `together_ms`.
     confirm_ms: float = 700.0
@@ -99,8 +101,13 @@
     deaths no longer count.
     """
 
-    def __init__(self, options: PartBlameOptions | None = None) -> None:
+    def __init__(
+        self,
+        options: PartBlameOptions | None = None,
+        n_engines: EngineCount = lambda zone: 0,
+    ) -> None:
         self.options = options or PartBlameOptions()
+        self._n_engines = n_engines
         self._incidents: list[Incident] = []
         self._proofs: list[Proof] = []
         self._proven_at_ms: dict[str, float] = {}
@@ -259,7 +266,11 @@
         ]
 
     def _has_too_many(self, incident: Incident) -> bool:
-        return len(incident.upstream_ids) > self.options.max_together
+        return is_zone_loss(
+            len(incident.upstream_ids),
+            self._n_engines(incident.zone),
+            self.options.max_together,
+        )
 
     def _incident(self, zone: Zone, upstream_id: str, at_ms: float) -> Incident:
         incident = self._find(zone, upstream_id, at_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
@@ -18,6 +18,7 @@
     EngineLost,
     RequestQuarantine,
 )
+from bronzeline_kernel.forwarding.zone_losses import EngineCount
 
 __all__ = [
     "BlocksAsked",
@@ -72,10 +73,10 @@
 class Quarantine:
     """Combine the blame of requests and of parts of prompts into one list of blocks."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, n_engines: EngineCount = lambda zone: 0) -> None:
         self.blocks = BlockList()
-        self.requests = RequestQuarantine(blocks=self.blocks)
-        self.parts = PartBlame()
+        self.requests = RequestQuarantine(blocks=self.blocks, n_engines=n_engines)
+        self.parts = PartBlame(n_engines=n_engines)
         self.on_convicted: Callable[[Conviction], None] = _ignore
         self.on_block_learned: Callable[[Block], None] = _ignore
         self.on_answered: Callable[[PartsAnswered], None] = _ignore
--- a/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
@@ -7,6 +7,7 @@
 
 from bronzeline_kernel.forwarding.block_list import BlockList, request_key
 from bronzeline_kernel.forwarding.health import Zone
+from bronzeline_kernel.forwarding.zone_losses import EngineCount, is_zone_loss
 from bronzeline_kernel.quarantine import BlameTracker
 
 __all__ = [
@@ -17,6 +18,8 @@
 ]
 
 QUARANTINE_REASON = "engines_died"
+# A single engine may die at any time.
+MAX_BY_CHANCE = 1
 
 
 @dataclass(frozen=True)
@@ -74,20 +77,24 @@
     options: RequestQuarantineOptions = field(default_factory=RequestQuarantineOptions)
     tracker: BlameTracker = field(default_factory=BlameTracker)
     blocks: BlockList = field(default_factory=BlockList)
+    n_engines: EngineCount = lambda zone: 0
     on_quarantined: Callable[[QuarantinedRequest], None] = lambda quarantined: None
     on_zone_loss: Callable[[EngineLost], None] = lambda lost: None
     _pending: list[PendingDeath] = field(default_factory=list)
 
     def engine_lost(self, lost: EngineLost, now_ms: float, is_own: bool) -> None:
         """Record an engine death that this router or a peer detected."""
-        death = PendingDeath(lost, now_ms, is_own)
-        for other in self._pending:
-            if other.lost.zone == lost.zone:
-                if other.lost.upstream_id != lost.upstream_id:
-                    other.is_zone_loss = death.is_zone_loss = True
-                else:
-                    death.is_zone_loss |= other.is_zone_loss
-        self._pending.append(death)
+        self._pending.append(PendingDeath(lost, now_ms, is_own))
+        together = [item for item in self._pending if item.lost.zone == lost.zone]
+        n_died = len({item.lost.upstream_id for item in together})
+        is_loss = is_zone_loss(n_died, self.n_engines(lost.zone), MAX_BY_CHANCE)
+        is_known = any(
+            item.is_zone_loss
+            for item in together
+            if item.lost.upstream_id == lost.upstream_id
+        )
+        for item in together if is_loss else together[-1:]:
+            item.is_zone_loss |= is_loss or is_known
 
     def confirm_deaths(self, now_ms: float) -> list[EngineLost]:
         """Count deaths outside zone losses; return this router's own, to announce."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/part_blame_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/part_blame_tests.py
@@ -126,6 +126,23 @@
             self.wait()
         self.assertEqual(self.convicted(), expected)
 
+    def test_a_part_that_ends_many_engines_of_a_large_zone_is_blamed(self):
+        self.blame = PartBlame(n_engines=lambda zone: 40)
+        self.blame.answered(("other",), self.now_ms)
+        for number in range(20):
+            self.die((f"r{number}", "d"), zone="zone-a")
+            self.wait(100.0)
+        self.assertEqual(self.convicted(), [("d",)])
+
+    def test_the_loss_of_a_large_zone_is_blamed_on_no_part(self):
+        self.blame = PartBlame(n_engines=lambda zone: 40)
+        self.blame.answered(("other",), self.now_ms)
+        for number in range(3):
+            for engine in range(30):
+                self.die((f"r{number}{engine}", "d"), zone="zone-a")
+            self.wait()
+        self.assertEqual(self.convicted(), [])
+
     def test_two_engines_that_die_together_count_once(self):
         for number in range(2):
             self.die((f"r{number}", "d"), zone="zone-a")
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
@@ -64,6 +64,16 @@
         self.assertFalse(self.is_blocked("long"))
         self.assertEqual(self.announced, [])
 
+    @params((3, False), (40, True))
+    def test_single_deaths_of_a_large_zone_are_no_zone_loss(self, n_engines, expected):
+        self.quarantine.n_engines = lambda zone: n_engines
+        for number in range(3):
+            self.record_deaths(
+                lost(f"a{number}", "zone-a", "killer"),
+                lost(f"b{number}", "zone-a", f"other-{number}"),
+            )
+        self.assertEqual(self.is_blocked("killer"), expected)
+
     def test_zone_losses_are_reported(self):
         reported = []
         self.quarantine.on_zone_loss = reported.append
