Index the evidence of deaths, and compare it only after a change

Cause: the deaths were compared ten times a second, whatever had changed, and for each part with all prompts: 1,900 ms of the loop for 400 deaths with ten prompts each and 700 parts that come again, as a large fleet may have. Found by reading.

Change: DeathEvidence indexes incidents by the parts of their prompts; PartBlame compares after a change alone, and blames one set of parts at a time.

--- a/packages/kernel/bronzeline_kernel/forwarding/part_blame.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/part_blame.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
+from bronzeline_kernel.forwarding.death_evidence import DeathEvidence, Incident
 from bronzeline_kernel.forwarding.health import Zone
 from bronzeline_kernel.forwarding.zone_losses import EngineCount, is_zone_loss
 
 __all__ = ["Conviction", "PartBlame", "PartBlameOptions", "PromptLost"]
 
+INF = float("inf")
 MAX_INCIDENTS = 500
 MAX_PROOFS = 256
 MAX_PROVEN_PARTS = 4_000
@@ -58,20 +60,6 @@
     retention_ms: float = 120_000.0
 
 
-@dataclass
-class Incident:
-    """Hold the prompts that engines of a zone had not answered when they died."""
-
-    zone: Zone
-    at_ms: float
-    upstream_ids: set[str] = field(default_factory=set)
-    # The parts of each prompt, by request hash.
-    prompts: dict[str, frozenset[str]] = field(default_factory=dict)
-    has_own: bool = False
-    # Parts that are blocked already ended the engines.
-    is_explained: bool = False
-
-
 @dataclass(frozen=True)
 class Conviction:
     """Name the parts to blame: all of them together, and none of them alone.
@@ -111,6 +99,9 @@
         self._incidents: list[Incident] = []
         self._proofs: list[Proof] = []
         self._proven_at_ms: dict[str, float] = {}
+        # When the deaths are next to be compared: after a change, once it is known
+        # what died beside.
+        self._check_due_ms = INF
 
     def engine_died(self, zone: Zone, upstream_id: str, at_ms: float) -> None:
         """Record an engine's death, whatever ran on it."""
@@ -130,10 +121,11 @@
         part_ids = frozenset(
             part_id
             for part_id in lost.part_ids
-            if self._proven_at_ms.get(part_id, float("-inf")) <= at_ms
+            if self._proven_at_ms.get(part_id, -INF) <= at_ms
         )
         known = incident.prompts.get(lost.request_hash, frozenset())
         incident.prompts[lost.request_hash] = known | part_ids
+        self._check_at(incident.at_ms + self.options.confirm_ms)
 
     def proven_since(self, lost: PromptLost, now_ms: float) -> tuple[str, ...]:
         """Return the parts of a lost prompt that were answered after the death."""
@@ -141,11 +133,13 @@
         return tuple(
             part_id
             for part_id in lost.part_ids
-            if self._proven_at_ms.get(part_id, float("-inf")) > at_ms
+            if self._proven_at_ms.get(part_id, -INF) > at_ms
         )
 
     def answered(self, part_ids: Collection[str], now_ms: float) -> tuple[str, ...]:
         """Record that an engine answered a prompt; return its suspected parts."""
+        if not self._has_recent_proof(now_ms):
+            self._check_at(now_ms)
         self._proofs.append(Proof(now_ms, frozenset(part_ids)))
         del self._proofs[:-MAX_PROOFS]
         return self.exonerate(part_ids, now_ms)
@@ -160,6 +154,7 @@
             del self._proven_at_ms[next(iter(self._proven_at_ms))]
         if suspected:
             self._drop_parts(frozenset(part_ids))
+            self._check_at(now_ms)
         return suspected
 
     def is_suspected(self, part_id: str) -> bool:
@@ -171,29 +166,31 @@
         )
 
     def convict(
-        self, now_ms: float, n_needed: Callable[[tuple[str, ...]], int] | None = None
-    ) -> list[Conviction]:
-        """Return the parts to blame.
+        self,
+        now_ms: float,
+        n_needed: Callable[[tuple[str, ...]], int] | None = None,
+        least_needed: int = 1,
+    ) -> Conviction | None:
+        """Return the next parts to blame, None if there are none now.
 
         `n_needed` returns how many incidents some parts need, which is fewer where
-        they were blamed before.
+        they were blamed before. Parts with fewer than `least_needed` are passed over.
         """
-        convictions: list[Conviction] = []
-        while True:
-            found = self._worst(now_ms, n_needed or self._n_needed)
-            if found is None:
-                return convictions
-            convictions.append(found)
+        if now_ms < self._check_due_ms:
+            return None
+        self._check_due_ms = self._next_confirmation_ms(now_ms)
+        found = self._worst(now_ms, n_needed or self._n_needed, least_needed)
+        if found is not None:
             self.explain(found.part_ids)
+            self._check_at(now_ms)
+        return found
 
     def explain(self, part_ids: Collection[str]) -> None:
         """Drop the incidents in which a prompt had all of these parts."""
         self._incidents = [
             incident
             for incident in self._incidents
-            if not any(
-                parts.issuperset(part_ids) for parts in incident.prompts.values()
-            )
+            if not incident.has_prompt_with(part_ids)
         ]
 
     def expire(self, now_ms: float) -> None:
@@ -212,41 +209,48 @@
     def _n_needed(self, part_ids: tuple[str, ...]) -> int:
         return self.options.n_incidents
 
+    def _check_at(self, at_ms: float) -> None:
+        self._check_due_ms = min(self._check_due_ms, at_ms)
+
+    def _next_confirmation_ms(self, now_ms: float) -> float:
+        """Return when the next incident is confirmed."""
+        times_ms = [x.at_ms + self.options.confirm_ms for x in self._incidents]
+        return min((at_ms for at_ms in times_ms if at_ms > now_ms), default=INF)
+
+    def _has_recent_proof(self, now_ms: float) -> bool:
+        recent_ms = self.options.others_answered_ms / 2.0
+        return bool(self._proofs) and now_ms - self._proofs[-1].at_ms < recent_ms
+
     def _worst(
-        self, now_ms: float, n_needed: Callable[[tuple[str, ...]], int]
+        self,
+        now_ms: float,
+        n_needed: Callable[[tuple[str, ...]], int],
+        least_needed: int,
     ) -> Conviction | None:
-        counted = self._counted(now_ms)
-        support = _support(counted)
-        for part_id in sorted(support, key=lambda item: (-len(support[item]), item)):
-            together = _always_together(part_id, counted, support)
-            suspects = [counted[number] for number in sorted(support[part_id])]
-            n_requests = _n_requests(together, suspects)
-            n_incidents = n_needed(together)
-            if len(suspects) < n_incidents:
-                continue
-            if n_requests < min(self.options.n_requests, n_incidents):
-                continue
-            if not self._others_answered(together, suspects[0].at_ms):
-                continue
-            if self._has_rival(together, support):
-                continue
-            return Conviction(
-                together,
-                tuple(sorted(set().union(*(item.upstream_ids for item in suspects)))),
-                n_requests,
-                any(item.has_own for item in suspects),
-            )
+        evidence = DeathEvidence(self._counted(now_ms))
+        for part_id in evidence.parts(least_needed):
+            part_ids = evidence.always_together(part_id)
+            if self._is_to_blame(part_id, part_ids, evidence, n_needed(part_ids)):
+                return _conviction(part_id, part_ids, evidence)
         return None
 
-    def _has_rival(
-        self, part_ids: tuple[str, ...], support: dict[str, set[int]]
+    def _is_to_blame(
+        self,
+        part_id: str,
+        part_ids: tuple[str, ...],
+        evidence: DeathEvidence,
+        n_needed: int,
     ) -> bool:
-        """Return whether another part explains as many of the incidents."""
-        numbers = support[part_ids[0]]
-        if len(numbers) >= self.options.n_incidents_with_rival:
+        incidents = evidence.incidents(part_id)
+        if len(incidents) < n_needed:
+            return False
+        if evidence.n_requests(part_id) < min(self.options.n_requests, n_needed):
+            return False
+        if not self._others_answered(part_ids, incidents[0].at_ms):
             return False
-        rivals = support.keys() - set(part_ids)
-        return any(support[rival] >= numbers for rival in rivals)
+        if len(incidents) >= self.options.n_incidents_with_rival:
+            return True
+        return not evidence.has_rival(part_ids)
 
     def _others_answered(self, part_ids: Collection[str], first_at_ms: float) -> bool:
         """Return whether prompts without these parts were answered meanwhile."""
@@ -298,46 +302,14 @@
                 incident.prompts[request_hash] = parts - part_ids
 
 
-def _support(incidents: list[Incident]) -> dict[str, set[int]]:
-    """Return for each part the numbers of the incidents that count against it."""
-    support: dict[str, set[int]] = {}
-    for number, incident in enumerate(incidents):
-        for part_id in frozenset().union(*incident.prompts.values()):
-            support.setdefault(part_id, set()).add(number)
-    return support
-
-
-def _always_together(
-    part_id: str, incidents: list[Incident], support: dict[str, set[int]]
-) -> tuple[str, ...]:
-    """Return the parts that the same prompts had as this one, itself included."""
-    prompts = list(_prompts_with((part_id,), incidents))
-    common = frozenset.intersection(*prompts)
-    return tuple(
-        sorted(
-            other
-            for other in common
-            if support[other] == support[part_id]
-            and len(list(_prompts_with((other,), incidents))) == len(prompts)
-        )
-    )
-
-
-def _prompts_with(
-    part_ids: Collection[str], incidents: list[Incident]
-) -> Iterable[frozenset[str]]:
-    for incident in incidents:
-        for parts in incident.prompts.values():
-            if parts.issuperset(part_ids):
-                yield parts
-
-
-def _n_requests(part_ids: Collection[str], incidents: list[Incident]) -> int:
-    return len(
-        {
-            request_hash
-            for incident in incidents
-            for request_hash, parts in incident.prompts.items()
-            if parts.issuperset(part_ids)
-        }
+def _conviction(
+    part_id: str, part_ids: tuple[str, ...], evidence: DeathEvidence
+) -> Conviction:
+    incidents = evidence.incidents(part_id)
+    upstream_ids = set[str]().union(*(item.upstream_ids for item in incidents))
+    return Conviction(
+        part_ids,
+        tuple(sorted(upstream_ids)),
+        evidence.n_requests(part_id),
+        any(item.has_own for item in incidents),
     )
--- a/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
@@ -145,7 +145,7 @@
         messages: list[QuarantineMessage] = []
         messages += self.requests.confirm_deaths(now_ms)
         messages += self._lost_prompts(now_ms)
-        messages += self._convictions(now_ms)
+        messages += self._convict(now_ms)
         if self._answered and self._random.random() * n_peers <= N_WITNESSES:
             messages.append(PartsAnswered(tuple(sorted(self._answered))))
             self._answered.clear()
@@ -179,16 +179,17 @@
                 announced.append(replace(lost, part_ids=left))
         return announced
 
-    def _convictions(self, now_ms: float) -> list[BlocksChanged]:
-        changes = []
-        needed = self._n_needed(now_ms)
-        for conviction in self.parts.convict(now_ms, needed):
-            keys = map(part_key, conviction.part_ids)
-            block = self.blocks.add(keys, PART_QUARANTINE_MS, now_ms)
-            self.on_convicted(conviction)
-            if conviction.has_own:
-                changes.append(BlocksChanged((block,)))
-        return changes
+    def _convict(self, now_ms: float) -> list[BlocksChanged]:
+        """Block the next parts to blame; return what to announce."""
+        conviction = self.parts.convict(
+            now_ms, self._n_needed(now_ms), self._least_needed(now_ms)
+        )
+        if conviction is None:
+            return []
+        keys = map(part_key, conviction.part_ids)
+        block = self.blocks.add(keys, PART_QUARANTINE_MS, now_ms)
+        self.on_convicted(conviction)
+        return [BlocksChanged((block,))] if conviction.has_own else []
 
     def _n_needed(self, now_ms: float) -> Callable[[tuple[str, ...]], int]:
         blocked = [set(x.keys) for x in self.blocks.blocks(now_ms) if x.is_active]
@@ -203,6 +204,15 @@
 
         return n_needed
 
+    def _least_needed(self, now_ms: float) -> int:
+        """Return how many incidents any parts need, given the blocks there are."""
+        blocks = [item for item in self.blocks.blocks(now_ms) if not item.is_lifted]
+        if any(not item.is_active for item in blocks):
+            return 1
+        if any(len(item.keys) > 1 for item in blocks):
+            return N_INCIDENTS_OF_SUBSET
+        return self.parts.options.n_incidents
+
     def _lift(self, part_ids: Collection[str], now_ms: float) -> set[str]:
         """Take sound parts out of the blocks; return those that were in one."""
         keys = {part_key(part_id): part_id for part_id in part_ids}
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/part_blame_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/part_blame_tests.py
@@ -34,7 +34,8 @@
         self.now_ms += duration_ms
 
     def convicted(self):
-        return [item.part_ids for item in self.blame.convict(self.now_ms)]
+        found = iter(lambda: self.blame.convict(self.now_ms), None)
+        return [item.part_ids for item in found]
 
     @params((2, []), (3, [("d",)]))
     def test_a_part_is_blamed_for_three_engines(self, n_deaths, expected):
