Bound what routers send each other about blocks

Cause: with more than a thousand records routers drop different ones, so their checksums differ for good, and each sent all records each second: 100 KB.

Change: an answer has the newest 64 records, in datagrams of eight.

--- a/packages/daemon/bronzeline_daemon/forwarding/block_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/block_exchange.py
@@ -26,6 +26,8 @@
 TICK_S = 0.1
 # A block takes about 100 bytes, and a datagram should fit into one IP packet.
 MAX_BLOCKS_AT_ONCE = 8
+# Bounds the bytes of an answer; with more records than this the newest are sent.
+MAX_BLOCKS_IN_ANSWER = 64
 
 
 class BlockExchange:
@@ -87,7 +89,7 @@
         blocks = self._quarantine.blocks
         if asked.digest == blocks.digest():
             return
-        known = blocks.blocks(self._clock.now_ms())
+        known = blocks.blocks(self._clock.now_ms())[-MAX_BLOCKS_IN_ANSWER:]
         for start in range(0, len(known), MAX_BLOCKS_AT_ONCE):
             some = known[start : start + MAX_BLOCKS_AT_ONCE]
             self._peers.send_to(BlocksChanged(some), peer)
