Play callers that retry at once, and a workspace that sends most

Change: a player of refused callers that send again at once, most of them of one workspace, with its rows in the load table and tests.

--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_table.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_table.py
@@ -24,6 +24,9 @@
 from bronzeline_kernel.tests.forwarding.load_player import EngineSpeed, LoadPlayer
 from bronzeline_kernel.tests.forwarding.load_result import summarize
 from bronzeline_kernel.tests.forwarding.outage_player import play as play_outage
+from bronzeline_kernel.tests.forwarding.retry_load_player import (
+    measure as measure_retries,
+)
 from bronzeline_kernel.tests.forwarding.samples import placement
 
 LENGTH_MS = 20_000.0
@@ -179,6 +182,8 @@
     print()
     print_fleets()
     print()
+    print_retries()
+    print()
     print_calls()
     print()
     print_returns()
@@ -198,6 +203,14 @@
             print_result(name, policy, measure_fleet(load, has_reports))
 
 
+def print_retries():
+    print_heads("A crest of 12 for 3 s", "Retries at once")
+    for n_retries in (0, 1, 4):
+        print_result("all callers", str(n_retries), measure_retries(n_retries))
+    for name, is_busy in (("the workspace that sends 0.7", True), ("others", False)):
+        print_result(name, "1", measure_retries(1, is_busy))
+
+
 def print_heads(*names):
     heads = (*names, "In time", "Late", "Refused", "Failed", "p50 ms", "p99 ms")
     print(f"| {' | '.join(heads)} |")
