--- a/packages/kernel/bronzeline_kernel/tests/forwarding/part_blame_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/part_blame_tests.py
@@ -1,8 +1,10 @@
 import unittest
+from unittest.mock import patch
 
 from nose2.tools import params
 
 from bronzeline_kernel.forwarding import PartBlame, PromptLost
+from bronzeline_kernel.forwarding.death_evidence import DeathEvidence
 
 APART_MS = 2_000.0
 
@@ -44,6 +46,27 @@
             self.wait()
         self.assertEqual(self.blamed(), expected)
 
+    def test_a_part_behind_many_others_is_blamed(self):
+        for number in range(3):
+            parts = [f"{number}-{place}" for place in range(20)]
+            self.die((f"r{number}", [*parts, "d"]))
+            self.wait()
+        self.assertEqual(self.blamed(), [("d",)])
+
+    def test_deaths_are_compared_again_only_after_a_change(self):
+        self.die(("r", "d"))
+        self.wait()
+        module = "bronzeline_kernel.forwarding.part_blame.DeathEvidence"
+        with patch(module, wraps=DeathEvidence) as evidence:
+            for _ in range(5):
+                self.assertEqual(self.blamed(), [])
+                self.wait()
+            self.assertEqual(evidence.call_count, 1)
+            self.die(("s", "d"))
+            self.wait()
+            self.assertEqual(self.blamed(), [])
+            self.assertEqual(evidence.call_count, 2)
+
     def test_one_request_alone_does_not_put_the_blame_on_its_parts(self):
         for _ in range(4):
             self.die(("r", "ad"))
