Log the status, id and connection of the response that ends an attempt

The record of false refusals could not be told apart by any line: a lost attempt named neither the status nor the id of the upstream's response, nor whether its connection had carried other requests; the end of a request did not name the status sent; a response with another request's id left no line at all.

attempt_lost has status, response_id, says_not_run and n_earlier_requests, response_skipped is new, request_ended has the status.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -38,6 +38,8 @@
     on_data: Callable[[int, bytes], Awaitable[None] | None]
     on_complete: Callable[[int], None]
     on_lost: Callable[[int, Fault], None]
+    # Called for the head of a response that belongs to another request.
+    on_skipped: Callable[[int, ResponseHead], None]
     # Called for each response of the upstream, also one that rejects the request.
     on_response: Callable[[ListedUpstream, ResponseHead], None]
 
@@ -74,6 +76,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    @property
+    def n_earlier_requests(self) -> int:
+        """Return how many requests the attempt's connection has carried before."""
+        return self._connection.n_earlier_requests if self._connection else 0
+
     async def _run(self) -> None:
         number = self.send.number
         fault = await self._exchange()
@@ -113,6 +120,7 @@
     def _on_head(self, status: int, headers: list[tuple[str, str]]) -> bool:
         head = self.wire.read_response(self.request, status, headers)
         if not head.is_own and not head.is_rejected and not head.is_other_process:
+            self.listener.on_skipped(self.send.number, head)
             return False
         self.head = head
         if not head.is_other_process:
--- a/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
-from bronzeline_kernel.forwarding import CallerRequest, Choice, ListedUpstream, Send
+from bronzeline_kernel.forwarding import (
+    CallerRequest,
+    Choice,
+    ListedUpstream,
+    ResponseHead,
+    Send,
+)
 
-__all__ = ["attempt_fields", "attempt_origin"]
+__all__ = ["attempt_fields", "attempt_origin", "response_fields"]
 
 # Bounds a line; prompts consist of a few parts.
 MAX_LOGGED_PARTS = 8
@@ -34,6 +40,20 @@
     return "first" if action.number == 1 else "prompt"
 
 
+def response_fields(
+    head: ResponseHead | None, n_earlier_requests: int
+) -> dict[str, object]:
+    """Return the log fields that tell which request a response belongs to."""
+    if head is None:
+        return {"n_earlier_requests": n_earlier_requests}
+    return {
+        "n_earlier_requests": n_earlier_requests,
+        "status": head.status,
+        "response_id": head.request_id,
+        "says_not_run": head.is_rejected or head.is_other_process,
+    }
+
+
 def _id_of(upstream: ListedUpstream | None) -> str:
     return upstream.upstream_id if upstream else ""
 
--- a/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
@@ -26,6 +26,8 @@
     def __init__(self, connection: HTTP1Connection) -> None:
         self._connection = connection
         self.has_started = False
+        # The status sent to the caller, 0 before.
+        self.status = 0
         self.is_over = False
         self.is_disconnected = False
         self.is_incomplete = False
@@ -90,6 +92,7 @@
 
     def _write_head(self, status: int, fields: HTTPHeaders, body: bytes) -> None:
         self.has_started = True
+        self.status = status
         reason = responses.get(status, "Unknown")
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         written = self._connection.write_headers(start_line, fields, body or None)
--- a/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
@@ -40,6 +40,8 @@
 
     # All connections of the process share one event loop.
     read_limit: ClassVar[ReadLimit] = ReadLimit()
+    # How many requests the connection has carried before the current one.
+    n_earlier_requests = 0
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read into a buffer; return None if nothing may be read in this turn."""
@@ -99,6 +101,7 @@
         if connection.closed() or len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
+        connection.n_earlier_requests += 1
         usable_ms = IDLE_SHARE * (keep_alive_ms or DEFAULT_IDLE_MS)
         idle.append(IdleConnection(connection, self._clock.now_ms() + usable_ms))
         self._close_expired(idle)
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -8,7 +8,11 @@
 
 from bronzeline_daemon.forwarding.attempt import Attempt, AttemptListener
 from bronzeline_daemon.forwarding.attempt_buffers import AttemptBuffers
-from bronzeline_daemon.forwarding.attempt_fields import attempt_fields, attempt_origin
+from bronzeline_daemon.forwarding.attempt_fields import (
+    attempt_fields,
+    attempt_origin,
+    response_fields,
+)
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
 from bronzeline_daemon.forwarding.death_check import DeathCheck
 from bronzeline_daemon.forwarding.relay_context import (
@@ -87,6 +91,7 @@
             self.on_data,
             self.on_complete,
             self._on_lost,
+            self._log_skipped,
             context.on_response,
         )
 
@@ -257,6 +262,7 @@
 
     def log_lost(self, number: int, fault: Fault) -> None:
         """Log and count a failed attempt; probe the upstream of a broken one."""
+        attempt = self._attempts[number]
         self.context.metrics.attempt_lost(fault.value)
         self._log.warn(
             "attempt_lost",
@@ -265,6 +271,7 @@
             upstream_id=self._upstream_id,
             after_ms=round(self.now_ms() - self._started_at_ms),
             n_events=self.n_events(number),
+            **response_fields(attempt.head, attempt.n_earlier_requests),
         )
         if fault is Fault.BROKEN:
             check = DeathCheck(
@@ -273,7 +280,17 @@
                 self.unanswered_parts(),
                 self.on_upstream_died,
             )
-            check.start(self._attempts[number])
+            check.start(attempt)
+
+    def _log_skipped(self, number: int, head: ResponseHead) -> None:
+        """Log a response that belongs to another request and is not used."""
+        attempt = self._attempts[number]
+        self._log.warn(
+            "response_skipped",
+            number=number,
+            upstream_id=attempt.send.upstream.upstream_id,
+            **response_fields(head, attempt.n_earlier_requests),
+        )
 
     def _fail(self, action: Fail) -> None:
         status = STATUS_OF_FAILURE[action.failure]
@@ -327,6 +344,7 @@
         fields = {
             "outcome": report.outcome,
             "reason": report.reason,
+            "status": self.response.status,
             "upstream_id": report.upstream_id,
             "n_attempts": report.n_attempts,
             "duration_ms": round(report.duration_ms),
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -131,6 +131,8 @@
     closes: bool
     # The request rate that the upstream takes from all routers together.
     limit_per_s: float | None = None
+    # The id that the response bears, empty without one.
+    request_id: str = ""
 
     @property
     def is_success(self) -> bool:
