Accept a refusal only with the id of the request that it refuses

Callers of orders got 503 for an order that had run once, or it ran a second time at another upstream. Cause: a 421, or a response with the header that says not run, was accepted whatever request id it bore, so one that an upstream sent late or again on a kept connection ended the request that was open there. The class: a promise about one request, taken from a message about another.

The id alone now decides whose response it is; all others are skipped, and logged as response_skipped.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -119,7 +119,7 @@
 
     def _on_head(self, status: int, headers: list[tuple[str, str]]) -> bool:
         head = self.wire.read_response(self.request, status, headers)
-        if not head.is_own and not head.is_rejected and not head.is_other_process:
+        if not head.is_own:
             self.listener.on_skipped(self.send.number, head)
             return False
         self.head = head
