Send nothing more to an upstream that says that it leaves

Callers' requests went on to upstreams that said in their responses that they leave, until the store's list said so too. Cause: the header was not read. Besides, a stream whose connection broke was sent once more to the same upstream, and resumed on the keeper of its copy, although the list called that upstream leaving or no longer had it: those two ways went round the list of usable ones.

Now every own response (also a rejection, a failure, and a response to a control request) tells it. It holds for that start of the upstream, whatever the list says. `UpstreamSet.is_staying` decides from list and notices; the index of usable upstreams and `SendPermission`, which every choice and every resume asks, rest on it. Open streams go on; their copies move from a leaving keeper. Skipped responses, those with another request's id and those of another process don't count.

--- a/packages/daemon/bronzeline_daemon/forwarding/event_log.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/event_log.py
@@ -9,6 +9,7 @@
     Block,
     EngineLost,
     LimitChange,
+    NoticeChange,
     PartsAnswered,
     Placement,
     Quarantine,
@@ -28,6 +29,7 @@
         """Start to log what they report."""
         placement.health.on_belief = self._on_belief_changed
         placement.limits.on_change = self._on_limit_changed
+        placement.upstreams.notices.on_change = self._on_notice_changed
         quarantine.requests.on_quarantined = self._on_request_quarantined
         quarantine.requests.on_zone_loss = self._on_zone_loss
         quarantine.on_blamed = self._on_parts_quarantined
@@ -51,6 +53,17 @@
             source=_source(change.is_own),
         )
 
+    def _on_notice_changed(self, change: NoticeChange) -> None:
+        self._logs.info(
+            "notice_dropped" if change.is_over else "notice_learned",
+            upstream_id=change.upstream_id,
+            started_at_ms=change.started_at_ms,
+            notice=change.notice.value,
+            value=change.value,
+            age_ms=round(change.age_ms),
+            source=_source(change.is_own),
+        )
+
     def _on_request_quarantined(self, quarantined: QuarantinedRequest) -> None:
         self._logs.warn(
             "request_quarantined",
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -41,6 +41,7 @@
     StopPlan,
     StreamRun,
     UpstreamHealth,
+    UpstreamNotice,
     WireFormat,
     WorkKind,
     Zone,
@@ -75,6 +76,7 @@
         self._settings = settings
         self._view = view
         self._wire = wire
+        self.engines = engines
         self._clock = clock
         self._random = random
         self.connection_pool = ConnectionPool(
@@ -95,6 +97,7 @@
         self.metrics = ForwardingMetrics()
         self._logs = LogLimiter(clock, settings.router_id)
         self.placement.health.on_replaced = self._on_replaced
+        engines.on_notice = self._on_notice
         EventLog(self._logs).subscribe(self.placement, self.quarantine)
         self._relay_context = RelayContext(
             clock,
@@ -162,7 +165,12 @@
     def _on_upstream_dead(self, upstream: ListedUpstream) -> None:
         self.placement.health.record_zone_loss(upstream.zone, self._clock.now_ms())
 
+    def _on_notice(self, upstream: ListedUpstream, notice: UpstreamNotice) -> None:
+        now_ms = self._clock.now_ms()
+        self._view.upstreams.notices.record(upstream.incarnation, notice, now_ms)
+
     def _on_response(self, upstream: ListedUpstream, head: ResponseHead) -> None:
+        self._on_notice(upstream, head.notice)
         if head.is_rejected and head.limit_per_s is None:
             # Only a response to a request that ran shows that there is no limit.
             return
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -129,6 +129,12 @@
     LimitReport,
     UpstreamLimits,
 )
+from bronzeline_kernel.forwarding.upstream_notices import (
+    Notice,
+    NoticeChange,
+    UpstreamNotice,
+    UpstreamNotices,
+)
 from bronzeline_kernel.forwarding.upstream_set import (
     Address,
     Incarnation,
@@ -187,6 +193,8 @@
     "Load",
     "LoadByUpstream",
     "LoadReport",
+    "Notice",
+    "NoticeChange",
     "PartBlame",
     "PartBlameOptions",
     "PartsAnswered",
@@ -239,6 +247,8 @@
     "UpstreamIdentity",
     "UpstreamLimits",
     "UpstreamListing",
+    "UpstreamNotice",
+    "UpstreamNotices",
     "UpstreamReplaced",
     "UpstreamSet",
     "WireFormat",
--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -206,7 +206,7 @@
         return self._fail(Failure.UNKNOWN_OUTCOME, fault.value)
 
     def _fail_without_upstream(self, now_ms: float) -> list[Action]:
-        return_ms = self.placement.return_after_limit_ms(self.service, now_ms)
+        return_ms = self.placement.permission.return_after_ms(self.service, now_ms)
         if return_ms is None:
             return self._fail_not_served("no upstream")
         left_ms = self.deadline_ms - now_ms
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -17,6 +17,7 @@
     PeerReports,
 )
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
+from bronzeline_kernel.forwarding.send_permission import SendPermission
 from bronzeline_kernel.forwarding.upstream_limits import UpstreamLimits
 from bronzeline_kernel.forwarding.upstream_set import (
     Incarnation,
@@ -27,7 +28,7 @@
 __all__ = ["Choice", "Placement", "PlacementOptions"]
 
 _CostFunction = Callable[[ListedUpstream], float]
-_RoomFunction = Callable[[Incarnation, float], bool]
+_RoomFunction = Callable[[ListedUpstream, float], bool]
 
 
 @dataclass(frozen=True)
@@ -95,6 +96,11 @@
     _loads: dict[str, Load] = field(default_factory=dict)
     _peer_reports: PeerReports = field(default_factory=PeerReports)
 
+    @property
+    def permission(self) -> SendPermission:
+        """Return the decision on which upstreams may be sent requests."""
+        return SendPermission(self.upstreams, self.limits)
+
     def load(self, upstream_id: str) -> Load:
         """Return this router's load on an upstream, for modification in place."""
         return self._loads.setdefault(upstream_id, Load())
@@ -123,6 +129,7 @@
         self._peer_reports.prune(now_ms)
         self.health.keep_only(self.upstreams.incarnations())
         self.limits.keep_only(self.upstreams.incarnations(), now_ms)
+        self.upstreams.notices.keep_only(self.upstreams.incarnations(), now_ms)
         self._loads = {
             key: item
             for key, item in self._loads.items()
@@ -154,8 +161,8 @@
             cost_share = self._stream_cost(upstream, peers, now_ms) - cached_share
             return cost_share * prompt_ms
 
-        limits = self.limits
-        has_room = limits.may_send_ahead if is_resumed else limits.may_send
+        permission = self.permission
+        has_room = permission.may_send_ahead if is_resumed else permission.may_send
         return self._cheapest(service, now_ms, exclude, cost, has_room, peers.age_ms)
 
     def prompt_list_candidates(
@@ -178,7 +185,7 @@
             now_ms,
             exclude,
             lambda item: self._call_cost(item, now_ms),
-            self.limits.may_send,
+            self.permission.may_send,
         )
 
     def choose_for_copy(
@@ -209,16 +216,6 @@
         """Count a request against the limit of an upstream, if it named one."""
         self.limits.record_send(upstream.incarnation, now_ms)
 
-    def return_after_limit_ms(self, service: str, now_ms: float) -> float | None:
-        """Return when a caller should come back that no limit leaves room for.
-
-        None means that limits are not the reason.
-        """
-        usable = self.upstreams.usable(service, now_ms)
-        if any(self.limits.may_send(item.incarnation, now_ms) for item in usable):
-            return None
-        return self.limits.return_after_ms(service, usable, now_ms)
-
     def is_keeper_available(self, keeper: ListedUpstream, now_ms: float) -> bool:
         """Return whether the keeper of a copy, and its zone, seem to be alive."""
         if self._is_zone_suspect(keeper, now_ms):
@@ -226,14 +223,13 @@
         return self.may_keeper_hold(keeper, now_ms)
 
     def may_keeper_hold(self, keeper: ListedUpstream, now_ms: float) -> bool:
-        """Return whether the keeper of a copy has not failed or restarted.
+        """Return whether the keeper of a copy has not failed, restarted or left.
 
         Its zone may be suspect because of another upstream.
         """
-        listed = self.upstreams.get(keeper.upstream_id)
-        if listed is None or listed.incarnation != keeper.incarnation:
+        if not self.upstreams.is_staying(keeper):
             return False
-        if self.upstreams.is_superseded(listed):
+        if self.upstreams.is_superseded(keeper):
             return False
         return not self.health.is_avoided(keeper.incarnation, now_ms)
 
@@ -250,7 +246,7 @@
         usable = [
             item
             for item in candidates
-            if item.incarnation not in exclude and has_room(item.incarnation, now_ms)
+            if item.incarnation not in exclude and has_room(item, now_ms)
         ]
         healthy = [
             item
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -17,6 +17,7 @@
     Send,
 )
 from bronzeline_kernel.forwarding.peer_messages import RouterEntry
+from bronzeline_kernel.forwarding.upstream_notices import NO_NOTICE, UpstreamNotice
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
 __all__ = [
@@ -97,6 +98,9 @@
 class EngineClient(Protocol):
     """Send control requests to engines: copies, cached prompts, identity."""
 
+    # Called with the notice of each response.
+    on_notice: Callable[[ListedUpstream, UpstreamNotice], None]
+
     async def copy_run(
         self, request: CallerRequest, source: ListedUpstream, keeper: ListedUpstream
     ) -> CopySource:
@@ -133,6 +137,7 @@
     limit_per_s: float | None = None
     # The id that the response bears, empty without one.
     request_id: str = ""
+    notice: UpstreamNotice = NO_NOTICE
 
     @property
     def is_success(self) -> bool:
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_copies.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_copies.py
@@ -33,17 +33,21 @@
 
         A dead keeper is noticed soon, and reading the prompt again takes longer.
         """
-        copy = self.best(attempt, now_ms)
-        if copy is not None:
-            return copy
-        for copy in attempt.copies(self.request_id):
-            if self.placement.may_keeper_hold(copy.keeper, now_ms):
+        placement = self.placement
+        copies = [
+            copy
+            for copy in attempt.copies(self.request_id)
+            if placement.may_keeper_hold(copy.keeper, now_ms)
+            and self.may_resume_on(copy.keeper, now_ms)
+        ]
+        for copy in copies:
+            if placement.is_keeper_available(copy.keeper, now_ms):
                 return copy
-        return None
+        return copies[0] if copies else None
 
     def may_resume_on(self, keeper: ListedUpstream, now_ms: float) -> bool:
-        """Return whether the limit of a keeper leaves room for a resume."""
-        return self.placement.limits.may_send_ahead(keeper.incarnation, now_ms)
+        """Return whether a stream may be sent to a keeper now."""
+        return self.placement.permission.may_send_ahead(keeper, now_ms)
 
     def maintain(self, attempt: Attempt, now_ms: float) -> CopyRun | None:
         """Return the request for a new or fresher copy, if one is due.
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -286,7 +286,7 @@
         incarnation = attempt.upstream.incarnation
         if incarnation in self._retried:
             return False
-        if not self.placement.limits.may_send(incarnation, now_ms):
+        if not self.placement.permission.may_send(attempt.upstream, now_ms):
             return False
         self._retried.add(incarnation)
         return True
@@ -301,7 +301,7 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
         copy = self._copies().to_try(attempt, now_ms)
-        if copy is not None and self._copies().may_resume_on(copy.keeper, now_ms):
+        if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
         if self._may_retry_same_upstream(attempt, fault, now_ms):
             return [self._send(attempt.upstream, now_ms)]
@@ -456,7 +456,7 @@
             self.placement.load(attempt.copy_to.upstream_id).n_copies -= 1
 
     def _fail_without_upstream(self, now_ms: float) -> list[Action]:
-        return_ms = self.placement.return_after_limit_ms(self.service, now_ms)
+        return_ms = self.placement.permission.return_after_ms(self.service, now_ms)
         if return_ms is None:
             return self._fail_not_served("no upstream")
         left_ms = self.deadline_ms - now_ms
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -5,11 +5,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bronzeline_kernel.forwarding.upstream_notices import (
+    Incarnation,
+    UpstreamNotices,
+)
+
 __all__ = ["Address", "Incarnation", "ListedUpstream", "UpstreamSet"]
 
 Address = tuple[str, int]
-# An upstream's id and start time.
-Incarnation = tuple[str, int]
 
 # Entries that expired during a store outage are registered again within this
 # time after its end (PROTOCOL, service discovery: "about two seconds"), so
@@ -50,12 +53,14 @@
     """Hold the known upstreams by id, and index the usable ones by service."""
 
     def __init__(self) -> None:
+        self.notices = UpstreamNotices()
         self._listed: dict[str, ListedUpstream] = {}
         # Indexes over the list, rebuilt after it changes.
         self._newest: dict[Address, ListedUpstream] = {}
         self._usable: dict[str, list[ListedUpstream]] = {}
         self._by_zone: dict[str, dict[str, list[ListedUpstream]]] = {}
         self._is_index_current = False
+        self._n_leaving_indexed = 0
         self._removals_due_ms: dict[str, float] = {}
         # Ids of upstreams found while the store was unreachable. They are dropped
         # if it does not list them within REMOVAL_HOLD_MS after the outage.
@@ -139,6 +144,13 @@
         newest = self._newest.get(entry.address)
         return newest is not None and newest.started_at_ms > entry.started_at_ms
 
+    def is_staying(self, upstream: ListedUpstream) -> bool:
+        """Return whether an upstream is listed and doesn't leave by list or notice."""
+        listed = self._listed.get(upstream.upstream_id)
+        if listed is None or listed.incarnation != upstream.incarnation:
+            return False
+        return not listed.is_leaving and not self.notices.is_leaving(listed.incarnation)
+
     def usable(self, service: str, now_ms: float) -> list[ListedUpstream]:
         """Return the upstreams of a service that may get new work.
 
@@ -156,8 +168,10 @@
         return self._by_zone.get(service, {})
 
     def _update_index(self) -> None:
-        if self._is_index_current:
+        n_leaving = self.notices.n_leaving_changes
+        if self._is_index_current and n_leaving == self._n_leaving_indexed:
             return
+        self._n_leaving_indexed = n_leaving
         self._newest = {}
         for entry in self._listed.values():
             other = self._newest.get(entry.address)
@@ -166,7 +180,7 @@
         self._usable = {}
         self._by_zone = {}
         for entry in self._newest.values():
-            if entry.is_leaving:
+            if not self.is_staying(entry):
                 continue
             self._usable.setdefault(entry.service, []).append(entry)
             zones = self._by_zone.setdefault(entry.service, {})
