Send an upstream nothing while it wants no requests

An upstream that turned a request away with 503 and Retry-After got further requests of the same router 0.3 s later, as after any rejection: the value was not read. Now the router sends it nothing until that time has passed: no calls, streams, resumed streams, copies or control requests. The rest holds for that start of the upstream and this router; the latest end of several counts.

A decimal number of seconds counts, up to 60 s; a longer one counts as 60 s. Each router ends a rest up to a quarter later, at most 0.5 s, at random, so that not all come back at once.

Log lines `notice_learned` and `notice_dropped`, a counter and two gauges tell of notices.

--- a/packages/daemon/bronzeline_daemon/forwarding/event_log.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/event_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.forwarding import (
     BeliefChange,
@@ -22,8 +23,9 @@
 class EventLog:
     """Write the events of placement and quarantine to the log."""
 
-    def __init__(self, logs: LogLimiter) -> None:
+    def __init__(self, logs: LogLimiter, metrics: ForwardingMetrics) -> None:
         self._logs = logs
+        self._metrics = metrics
 
     def subscribe(self, placement: Placement, quarantine: Quarantine) -> None:
         """Start to log what they report."""
@@ -54,6 +56,9 @@
         )
 
     def _on_notice_changed(self, change: NoticeChange) -> None:
+        if not change.is_over:
+            source = _source(change.is_own)
+            self._metrics.notice_learned(change.notice.value, source)
         self._logs.info(
             "notice_dropped" if change.is_over else "notice_learned",
             upstream_id=change.upstream_id,
@@ -61,6 +66,7 @@
             notice=change.notice.value,
             value=change.value,
             age_ms=round(change.age_ms),
+            for_ms=None if change.for_ms is None else round(change.for_ms),
             source=_source(change.is_own),
         )
 
--- a/packages/daemon/bronzeline_daemon/forwarding/metrics.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/metrics.py
@@ -41,6 +41,12 @@
         self._refused = self._counter("refused", "Requests refused.", "refusal")
         self._lost = self._counter("attempts_lost", "Attempts that failed.", "fault")
         self._sent = self._counter("attempts", "Attempts sent.", "way")
+        self._notices = self._counter(
+            "notices",
+            "Upstreams that said that they leave or rest.",
+            "notice",
+            "source",
+        )
         self._store_calls = self._counter(
             "store_calls", "Calls to the store.", "kind", "outcome"
         )
@@ -67,6 +73,10 @@
         """Count a failed attempt by fault."""
         self._lost.labels(fault).inc()
 
+    def notice_learned(self, notice: str, source: str) -> None:
+        """Count an upstream's notice by kind and source, own or peer."""
+        self._notices.labels(notice, source).inc()
+
     def store_called(self, kind: str, outcome: str) -> None:
         """Count a call to the store by kind and outcome."""
         self._store_calls.labels(kind, outcome).inc()
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -194,6 +194,16 @@
                 "Upstreams that name a request rate as their limit.",
                 lambda: len(self.service.placement.limits),
             ),
+            (
+                "leaving_upstreams",
+                "Upstreams that said that they leave.",
+                lambda: view.upstreams.notices.n_leaving,
+            ),
+            (
+                "resting_upstreams",
+                "Upstreams that want no requests for some time.",
+                lambda: view.upstreams.notices.n_resting(self.clock.now_ms()),
+            ),
             (
                 "channels_opened",
                 "Connections opened to upstreams.",
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -97,8 +97,12 @@
         self.metrics = ForwardingMetrics()
         self._logs = LogLimiter(clock, settings.router_id)
         self.placement.health.on_replaced = self._on_replaced
+        view.upstreams.notices.random = random
         engines.on_notice = self._on_notice
-        EventLog(self._logs).subscribe(self.placement, self.quarantine)
+        engines.may_call = lambda upstream: self.placement.permission.may_call(
+            upstream, clock.now_ms()
+        )
+        EventLog(self._logs, self.metrics).subscribe(self.placement, self.quarantine)
         self._relay_context = RelayContext(
             clock,
             self.connection_pool,
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -172,7 +172,8 @@
         return tuple(
             item
             for item in self._sample(service, now_ms)
-            if not self.health.is_avoided(item.incarnation, now_ms)
+            if self.permission.takes_requests(item, now_ms)
+            and not self.health.is_avoided(item.incarnation, now_ms)
             and not self.prompts.has_fresh_list(item.incarnation, now_ms)
         )
 
@@ -197,6 +198,7 @@
             item
             for item in usable
             if item.address != primary.address
+            and self.permission.takes_requests(item, now_ms)
             and not self.health.is_avoided(item.incarnation, now_ms)
         ]
         zones = [item.availability_zone for item in others]
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -100,6 +100,9 @@
 
     # Called with the notice of each response.
     on_notice: Callable[[ListedUpstream, UpstreamNotice], None]
+    # Returns whether an upstream may be sent control requests now. If not, methods
+    # raise `UpstreamRefusedError`.
+    may_call: Callable[[ListedUpstream], bool]
 
     async def copy_run(
         self, request: CallerRequest, source: ListedUpstream, keeper: ListedUpstream
--- a/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
@@ -19,16 +19,25 @@
 
     def may_send(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether a request may be sent to an upstream now."""
-        if not self.upstreams.is_staying(upstream):
+        if not self.takes_requests(upstream, now_ms):
             return False
         return self.limits.may_send(upstream.incarnation, now_ms)
 
     def may_send_ahead(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether a stream may resume on an upstream now."""
-        if not self.upstreams.is_staying(upstream):
+        if not self.takes_requests(upstream, now_ms):
             return False
         return self.limits.may_send_ahead(upstream.incarnation, now_ms)
 
+    def takes_requests(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        """Return whether an upstream stays and wants requests now."""
+        is_staying = self.upstreams.is_staying(upstream)
+        return is_staying and self.may_call(upstream, now_ms)
+
+    def may_call(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        """Return whether a control request may be sent, also to a leaving upstream."""
+        return not self.upstreams.notices.is_resting(upstream.incarnation, now_ms)
+
     def return_after_ms(self, service: str, now_ms: float) -> float | None:
         """Return when a caller should come back that no limit leaves room for.
 
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_copies.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_copies.py
@@ -65,7 +65,8 @@
         keeper = attempt.copy.keeper if attempt.copy else None
         if keeper is None or not is_available(keeper, now_ms):
             keeper = self.placement.choose_for_copy(attempt.upstream, now_ms)
-        if keeper is None:
+        may_call = self.placement.permission.may_call
+        if keeper is None or not may_call(attempt.upstream, now_ms):
             return None
         attempt.copy_due_ms = now_ms + self.options.copy_refresh_ms
         return CopyRun(attempt.number, attempt.upstream, keeper)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
@@ -1,6 +1,7 @@
-"""Check what routers do after upstreams have said in responses that they leave."""
+"""Check what routers do after upstreams have said that they leave or rest."""
 
 import unittest
+from random import Random
 
 from nose2.tools import params
 
@@ -24,6 +25,10 @@
 LEAVING = UpstreamNotice(is_leaving=True, leaving_value="1")
 
 
+def resting(rest_ms=1_000.0):
+    return UpstreamNotice(rest_ms=rest_ms, rest_value="1")
+
+
 class UpstreamNoticesTests(unittest.TestCase):
     def setUp(self):
         self.notices = UpstreamNotices()
@@ -46,30 +51,93 @@
         self.assertEqual([item.is_over for item in self.changes[1:]], [True][kept:])
 
 
-class LeavingPlacementTests(unittest.TestCase):
+class RestTests(unittest.TestCase):
+    def setUp(self):
+        self.notices = UpstreamNotices()
+        self.changes = []
+        self.notices.on_change = self.changes.append
+
+    def rest(self, rest_ms, now_ms=0.0, upstream=UPSTREAM):
+        self.notices.record(upstream, resting(rest_ms), now_ms)
+
+    @params(
+        (0.0, 0.0, 0.0),
+        (50.0, 50.0, 62.5),
+        (800.0, 800.0, 1_000.0),
+        (30_000.0, 30_000.0, 30_500.0),
+        (1e12, 60_000.0, 60_500.0),
+        (float("inf"), 60_000.0, 60_500.0),
+    )
+    def test_a_rest_lasts_as_long_as_asked_for_within_bounds(
+        self, rest_ms, earliest_ms, latest_ms
+    ):
+        self.rest(rest_ms)
+        self.assertFalse(self.notices.is_resting(UPSTREAM, latest_ms))
+        for at_ms in (0.0, earliest_ms / 2.0, earliest_ms - 0.1):
+            is_resting = self.notices.is_resting(UPSTREAM, at_ms)
+            self.assertEqual(is_resting, rest_ms > 0.0)
+        self.assertFalse(self.notices.is_resting(("u", 2), 0.0))
+
+    @params((1_000.0, 0.0), (100.0, 500.0), (2_000.0, 500.0))
+    def test_the_latest_end_of_several_rests_counts(self, rest_ms, at_ms):
+        self.rest(1_000.0)
+        self.rest(rest_ms, at_ms)
+        last_ms = max(1_000.0, at_ms + rest_ms) - 1.0
+        self.assertTrue(self.notices.is_resting(UPSTREAM, last_ms))
+        self.assertEqual(len(self.changes), 1)
+
+    def test_a_rest_ends_though_the_upstream_answers_nothing(self):
+        self.rest(1_000.0)
+        self.assertEqual(self.notices.n_resting(500.0), 1)
+        self.notices.keep_only({UPSTREAM}, 2_000.0)
+        self.assertEqual(self.notices.n_resting(2_000.0), 0)
+        self.assertEqual([item.is_over for item in self.changes], [False, True])
+        self.assertEqual(self.changes[1].age_ms, 2_000.0)
+
+    def test_routers_end_a_rest_at_different_times(self):
+        ends_ms = set()
+        for seed in range(20):
+            notices = UpstreamNotices(Random(seed))
+            notices.record(UPSTREAM, resting(1_000.0), 0.0)
+            ends_ms.add(round(notices.rest_ends_at_ms(UPSTREAM), -1))
+        self.assertGreater(len(ends_ms), 10)
+        self.assertGreater(max(ends_ms) - min(ends_ms), 150.0)
+
+
+class NoticePlacementTests(unittest.TestCase):
     def setUp(self):
         self.placement = placement(fleet(1))
 
-    def leave(self, *names):
+    def leave(self, *names, notice=LEAVING):
         for name in names:
             incarnation = self.placement.upstreams.get(name).incarnation
-            self.placement.upstreams.notices.record(incarnation, LEAVING, 0.0)
+            self.placement.upstreams.notices.record(incarnation, notice, 0.0)
 
     def chosen(self, choose, *args):
         found = [choose(*args) for _ in range(40)]
         found = [getattr(item, "upstream", item) for item in found]
         return {item.upstream_id for item in found if item is not None}
 
-    @params("choose_for_stream", "choose_for_call")
-    def test_a_leaving_upstream_gets_no_new_work(self, method):
+    @params(
+        ("choose_for_stream", LEAVING),
+        ("choose_for_call", LEAVING),
+        ("choose_for_stream", resting()),
+        ("choose_for_call", resting()),
+    )
+    def test_a_leaving_or_resting_upstream_gets_no_new_work(self, method, notice):
         choose = getattr(self.placement, method)
-        self.leave("zone-a-0", "zone-b-0")
+        self.leave("zone-a-0", "zone-b-0", notice=notice)
         self.assertEqual(self.chosen(choose, ENGINES, 1.0), {"zone-c-0"})
-        self.leave("zone-c-0")
-        self.assertEqual(self.chosen(choose, ENGINES, 1.0), set())
-
-    def test_a_leaving_upstream_keeps_no_new_copy_and_lists_no_prompts(self):
-        self.leave("zone-b-0")
+        self.leave("zone-c-0", notice=notice)
+        self.assertEqual(self.chosen(choose, ENGINES, 999.0), set())
+        all_names = {"zone-a-0", "zone-b-0", "zone-c-0"} if notice.rest_ms else set()
+        self.assertLessEqual(self.chosen(choose, ENGINES, 1_250.0), all_names)
+        is_open = bool(self.chosen(choose, ENGINES, 1_250.0))
+        self.assertEqual(is_open, notice.rest_ms > 0.0)
+
+    @params(LEAVING, resting())
+    def test_such_an_upstream_keeps_no_new_copy_and_lists_no_prompts(self, notice):
+        self.leave("zone-b-0", notice=notice)
         copies = self.chosen(self.placement.choose_for_copy, upstream("zone-a-0"), 1.0)
         self.assertEqual(copies, {"zone-c-0"})
         listed = self.placement.prompt_list_candidates(ENGINES, 1.0)
@@ -89,8 +157,8 @@
         self.assertNotIn("zone-a-0", self.chosen(choose, ENGINES, 1.0))
 
 
-class LeavingStreamTests(unittest.TestCase):
-    """How an upstream's leaving became known: by its response or by the list."""
+class NoticeStreamTests(unittest.TestCase):
+    """How it is known: by a response that says it leaves or rests, or by the list."""
 
     def leave(self, driver, entry, source):
         if source == "list":
@@ -101,9 +169,10 @@
             driver.placement.upstreams.remove(entry.upstream_id, driver.now_ms)
         else:
             notices = driver.placement.upstreams.notices
-            notices.record(entry.incarnation, LEAVING, driver.now_ms)
+            notice = resting() if source == "rest" else LEAVING
+            notices.record(entry.incarnation, notice, driver.now_ms)
 
-    @params("response", "list", "removed")
+    @params("response", "rest", "list", "removed")
     def test_a_broken_stream_is_not_sent_to_a_leaving_upstream_again(self, source):
         driver = Driver()
         send = driver.start()
@@ -111,7 +180,7 @@
         (again,) = driver.fail_attempt(send.number, Fault.BROKEN)
         self.assertNotEqual(again.upstream.address, send.upstream.address)
 
-    @params("response", "list", "removed")
+    @params("response", "rest", "list", "removed")
     def test_a_stream_does_not_resume_on_a_leaving_keeper(self, source):
         driver = Driver()
         send = driver.start()
@@ -121,7 +190,7 @@
         self.assertIsNone(again.copy_from)
         self.assertNotEqual(again.upstream.address, send.copy_to.address)
 
-    @params("response", "list")
+    @params("response", "rest", "list")
     def test_a_stream_of_another_router_does_not_resume_on_a_leaving_keeper(
         self, source
     ):
@@ -142,7 +211,15 @@
         ((_, action),) = driver.wait(50.0)
         self.assertNotEqual(action.keeper.address, send.copy_to.address)
 
-    @params("response", "list")
+    def test_no_copy_is_asked_of_a_resting_upstream(self):
+        driver = Driver()
+        send = driver.start()
+        driver.events(send.number, 3)
+        self.leave(driver, send.copy_to, "list")
+        self.leave(driver, send.upstream, "rest")
+        self.assertEqual(driver.wait(150.0), [])
+
+    @params("response", "rest", "list")
     def test_a_stream_ends_on_its_leaving_upstream(self, source):
         driver = Driver()
         send = driver.start()
