Send a request again to an upstream on a connection of its own

An order could be refused with 503 while it ran: an upstream that had no slot refused it, the router sent it there again on the same kept connection, and the refusal, sent twice by the upstream, counted for the second attempt.

A second attempt at an address opens a new connection. That is rare: other upstreams are tried first, and streams go back to an upstream only after a broken connection.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -55,6 +55,9 @@
     wire: WireFormat
     listener: AttemptListener
     started_at_ms: float
+    # False if an earlier attempt of the request went to this address: a late
+    # response to it bears the same id, so it must not share the connection.
+    may_reuse_connection: bool = True
     head: ResponseHead | None = None
     _connection: Connection | None = None
     _task: asyncio.Task[None] | None = field(default=None)
@@ -94,7 +97,9 @@
     async def _exchange(self) -> Fault | None:
         address = self.send.upstream.address
         try:
-            connection = await self.connection_pool.acquire(address)
+            connection = await self.connection_pool.acquire(
+                address, may_reuse=self.may_reuse_connection
+            )
         except UpstreamUnreachableError:
             return Fault.UNREACHABLE
         self._connection = connection
--- a/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
@@ -84,10 +84,14 @@
         self.n_opened = 0
 
     async def acquire(
-        self, address: Address, timeout_ms: float = CONNECT_TIMEOUT_MS
+        self,
+        address: Address,
+        timeout_ms: float = CONNECT_TIMEOUT_MS,
+        *,
+        may_reuse: bool = True,
     ) -> Connection:
         """Return an idle or a new connection; raises `UpstreamUnreachableError`."""
-        connection = self._pop_idle(address)
+        connection = self._pop_idle(address) if may_reuse else None
         if connection is not None:
             return connection
         self.n_opened += 1
