Tell callers a true time when all upstreams of a service leave or rest

While every upstream rested or left, callers were refused with 150 ms (calls) or 500 ms (streams), came back before the end and were refused again. Cause: only limits were asked for a time to return; a request turned away by the last upstream wasn't told even that.

Now a refusal names the end of the first rest, also where the caller has less time left, and at once. Callers return one after the other: each 10 ms for calls and the usual time of a prompt for streams, times the routers, over the upstreams that are back by then. When all leave, the time is as long as that has lasted (0.25 to 5 s). With limits and rests, the earlier counts.

Not done: routers hold no request until a rest ends, and don't recognize who returns.

--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -17,7 +17,6 @@
     Send,
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
-from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
 
 __all__ = ["CallOptions", "CallRun"]
@@ -32,6 +31,9 @@
     hedge_after_share: float = 0.5
     # A full upstream frees a slot within one call of 45 ms; this is a few calls.
     retry_after_ms: float = 150.0
+    # Callers return to an upstream after its rest at this interval; a call of 45 ms
+    # keeps one of several slots.
+    return_interval_ms: float = 10.0
     # A kept failure is sent this long before the deadline, to reach the caller in time.
     last_response_ms: float = 100.0
     # Each unreachable upstream costs one connection attempt.
@@ -141,7 +143,7 @@
             return []
         if self._may_retry(fault, now_ms):
             return self._send(now_ms)
-        return self._fail_lost(fault)
+        return self._fail_lost(fault, now_ms)
 
     def _finish(self, number: int) -> list[Action]:
         self._release(number)
@@ -187,7 +189,7 @@
         if choice is None and self._tried:
             choice = self.placement.choose_for_call(self.service, now_ms)
         if choice is None:
-            return self._fail_without_upstream(now_ms)
+            return self._fail_not_served("no upstream", now_ms)
         return [self._send_to(choice, now_ms)]
 
     def _send_to(self, choice: Choice, now_ms: float) -> Send:
@@ -200,26 +202,21 @@
         budget_ms = max(0.0, self.deadline_ms - now_ms)
         return Send(self.n_sent, upstream, budget_ms, choice=choice)
 
-    def _fail_lost(self, fault: Fault) -> list[Action]:
+    def _fail_lost(self, fault: Fault, now_ms: float) -> list[Action]:
         if fault.is_not_run:
-            return self._fail_not_served(fault.value)
+            return self._fail_not_served(fault.value, now_ms)
         return self._fail(Failure.UNKNOWN_OUTCOME, fault.value)
 
-    def _fail_without_upstream(self, now_ms: float) -> list[Action]:
-        return_ms = self.placement.permission.return_after_ms(self.service, now_ms)
-        if return_ms is None:
-            return self._fail_not_served("no upstream")
-        left_ms = self.deadline_ms - now_ms
-        return self._fail_not_served(LIMITED, useful_return_ms(return_ms, left_ms))
-
-    def _fail_not_served(
-        self, reason: str, retry_after_ms: float | None = None
-    ) -> list[Action]:
+    def _fail_not_served(self, reason: str, now_ms: float) -> list[Action]:
         if self.may_have_run:
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
-        if retry_after_ms is None:
-            retry_after_ms = self.options.retry_after_ms
-        return self._fail(Failure.NOT_RUN, reason, retry_after_ms)
+        interval_ms = self.options.return_interval_ms
+        closure = self.placement.permission.find_closure(
+            self.service, self.deadline_ms, interval_ms, now_ms
+        )
+        if closure is None:
+            return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
+        return self._fail(Failure.NOT_RUN, closure.reason, closure.return_ms)
 
     def _fail(
         self, failure: Failure, reason: str, retry_after_ms: float = 0.0
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -17,6 +17,7 @@
     PeerReports,
 )
 from bronzeline_kernel.forwarding.prompt_index import Prompt, PromptIndex
+from bronzeline_kernel.forwarding.return_queue import ReturnQueue
 from bronzeline_kernel.forwarding.send_permission import SendPermission
 from bronzeline_kernel.forwarding.upstream_limits import UpstreamLimits
 from bronzeline_kernel.forwarding.upstream_set import (
@@ -95,11 +96,12 @@
     )
     _loads: dict[str, Load] = field(default_factory=dict)
     _peer_reports: PeerReports = field(default_factory=PeerReports)
+    _returns: ReturnQueue = field(default_factory=ReturnQueue)
 
     @property
     def permission(self) -> SendPermission:
         """Return the decision on which upstreams may be sent requests."""
-        return SendPermission(self.upstreams, self.limits)
+        return SendPermission(self.upstreams, self.limits, self._returns)
 
     def load(self, upstream_id: str) -> Load:
         """Return this router's load on an upstream, for modification in place."""
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/return_queue.py
@@ -0,0 +1,73 @@
+"""Tell callers of a service that is closed when to come back, one after the other."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from bronzeline_kernel.forwarding.return_times import (
+    return_after_outage_ms,
+    useful_return_ms,
+)
+
+__all__ = ["ALL_LEAVE", "ALL_REST", "Closure", "ReturnQueue"]
+
+ALL_LEAVE = "all upstreams leave"
+ALL_REST = "all upstreams rest"
+
+# Callers are told to come back within this time after the first rest ends.
+MAX_QUEUE_MS = 12_000.0
+
+
+@dataclass(frozen=True)
+class Closure:
+    """Hold why a service takes no request now, and when a caller should come back."""
+
+    reason: str
+    return_ms: float
+
+
+@dataclass
+class ReturnQueue:
+    """Hold which returns are due, and since when services have had no upstream."""
+
+    _due_ms: dict[str, float] = field(default_factory=dict)
+    _empty_since_ms: dict[str, float] = field(default_factory=dict)
+
+    def is_empty(self, service: str) -> bool:
+        """Return whether all upstreams of a service left, and none came since."""
+        return service in self._empty_since_ms
+
+    def open(self, service: str) -> None:
+        """Record that a service takes requests."""
+        self._due_ms.pop(service, None)
+        self._empty_since_ms.pop(service, None)
+
+    def after_leaving(self, service: str, left_ms: float, now_ms: float) -> Closure:
+        """Return the closure of a service whose upstreams all leave.
+
+        When others start is not known: expect it to last as long as it has lasted.
+        """
+        lasted_ms = now_ms - self._empty_since_ms.setdefault(service, now_ms)
+        return Closure(ALL_LEAVE, return_after_outage_ms(lasted_ms, left_ms))
+
+    def after_rests(
+        self,
+        service: str,
+        ends_at_ms: Sequence[float],
+        interval_ms: float,
+        left_ms: float,
+        now_ms: float,
+    ) -> Closure:
+        """Return the closure of a service whose upstreams rest until these times.
+
+        One caller returns each interval for each upstream whose rest has ended by
+        then, but none before the first end, also if its own time ends before.
+        """
+        first_ms = min(ends_at_ms)
+        due_ms = max(first_ms, self._due_ms.get(service, 0.0))
+        n_open = sum(end_ms <= due_ms for end_ms in ends_at_ms)
+        next_due_ms = due_ms + interval_ms / n_open
+        self._due_ms[service] = min(next_due_ms, first_ms + MAX_QUEUE_MS)
+        queued_ms = useful_return_ms(due_ms - now_ms, left_ms)
+        return Closure(ALL_REST, max(first_ms - now_ms, queued_ms))
--- a/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from bronzeline_kernel.forwarding.return_queue import Closure, ReturnQueue
+from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.upstream_limits import UpstreamLimits
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 
@@ -16,6 +19,7 @@
 
     upstreams: UpstreamSet
     limits: UpstreamLimits
+    returns: ReturnQueue
 
     def may_send(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether a request may be sent to an upstream now."""
@@ -38,12 +42,51 @@
         """Return whether a control request may be sent, also to a leaving upstream."""
         return not self.upstreams.notices.is_resting(upstream.incarnation, now_ms)
 
-    def return_after_ms(self, service: str, now_ms: float) -> float | None:
-        """Return when a caller should come back that no limit leaves room for.
+    def find_closure(
+        self, service: str, deadline_ms: float, interval_ms: float, now_ms: float
+    ) -> Closure | None:
+        """Return why a service takes no request now, None if one of its upstreams does.
 
-        None means that limits are not the reason.
+        `interval_ms` is how long one request usually keeps an upstream from the next.
         """
         usable = self.upstreams.usable(service, now_ms)
+        left_ms = deadline_ms - now_ms
         if any(self.may_send(item, now_ms) for item in usable):
+            self.returns.open(service)
             return None
-        return self.limits.return_after_ms(service, usable, now_ms)
+        if not usable:
+            return self._closure_without_upstream(service, left_ms, now_ms)
+        closures = self._closures(service, usable, interval_ms, left_ms, now_ms)
+        return min(closures, key=lambda item: item.return_ms, default=None)
+
+    def _closure_without_upstream(
+        self, service: str, left_ms: float, now_ms: float
+    ) -> Closure | None:
+        if not self.upstreams.has_any(service) and not self.returns.is_empty(service):
+            return None
+        return self.returns.after_leaving(service, left_ms, now_ms)
+
+    def _closures(
+        self,
+        service: str,
+        usable: Sequence[ListedUpstream],
+        interval_ms: float,
+        left_ms: float,
+        now_ms: float,
+    ) -> list[Closure]:
+        resting = [item for item in usable if not self.may_call(item, now_ms)]
+        limited = [item for item in usable if self.may_call(item, now_ms)]
+        closures = []
+        limit_ms = self.limits.return_after_ms(service, limited, now_ms)
+        if limit_ms is not None:
+            closures.append(Closure(LIMITED, useful_return_ms(limit_ms, left_ms)))
+        if resting:
+            notices = self.upstreams.notices
+            ends_at_ms = [notices.rest_ends_at_ms(item.incarnation) for item in resting]
+            interval_of_all_ms = self.limits.n_routers * interval_ms
+            closures.append(
+                self.returns.after_rests(
+                    service, ends_at_ms, interval_of_all_ms, left_ms, now_ms
+                )
+            )
+        return closures
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -24,7 +24,6 @@
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
 from bronzeline_kernel.forwarding.prompt_index import Prompt
-from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
 from bronzeline_kernel.forwarding.stream_copies import StreamCopies
 from bronzeline_kernel.forwarding.stream_evidence import StreamEvidence
@@ -332,13 +331,13 @@
         if fault is Fault.UNREACHABLE:
             self.n_unreachable += 1
         elif not self._has_attempts_left():
-            return self._fail_not_served("attempts used up")
+            return self._fail_not_served("attempts used up", now_ms)
         if not attempt.is_from_copy:
             self.n_rejected += 1
         if self.n_rejected > self.options.max_rejections:
-            return self._fail_not_served("every upstream turned it away")
+            return self._fail_not_served("every upstream turned it away", now_ms)
         if fault is not Fault.UNREACHABLE and not self.budget.spend():
-            return self._fail_not_served("retry budget spent")
+            return self._fail_not_served("retry budget spent", now_ms)
         return self._send_prompt(now_ms)
 
     def _resume_earlier_run(self, now_ms: float) -> list[Action]:
@@ -374,7 +373,7 @@
             self._tried.clear()
             choice = self._choose(prompt, now_ms)
         if choice is None:
-            return self._fail_without_upstream(now_ms)
+            return self._fail_not_served("no upstream", now_ms)
         read_ms = self._evidence().fastest_read_ms(choice.upstream, now_ms)
         if not self.n_sent and self._is_too_late(read_ms, now_ms):
             return self._fail_too_late("too little time for the prompt", now_ms)
@@ -455,21 +454,16 @@
         if attempt.copy_to is not None:
             self.placement.load(attempt.copy_to.upstream_id).n_copies -= 1
 
-    def _fail_without_upstream(self, now_ms: float) -> list[Action]:
-        return_ms = self.placement.permission.return_after_ms(self.service, now_ms)
-        if return_ms is None:
-            return self._fail_not_served("no upstream")
-        left_ms = self.deadline_ms - now_ms
-        return self._fail_not_served(LIMITED, useful_return_ms(return_ms, left_ms))
-
-    def _fail_not_served(
-        self, reason: str, retry_after_ms: float | None = None
-    ) -> list[Action]:
+    def _fail_not_served(self, reason: str, now_ms: float) -> list[Action]:
         if self.n_lost or self.has_delivered:
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
-        if retry_after_ms is None:
-            retry_after_ms = self.options.retry_after_ms
-        return self._fail(Failure.NOT_RUN, reason, retry_after_ms)
+        interval_ms = self.placement.pace(self.service).usual_prompt_ms
+        closure = self.placement.permission.find_closure(
+            self.service, self.deadline_ms, interval_ms, now_ms
+        )
+        if closure is None:
+            return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
+        return self._fail(Failure.NOT_RUN, closure.reason, closure.return_ms)
 
     def _fail_blocked(self) -> list[Action]:
         """End a request that was blocked meanwhile, before it ends another engine."""
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -125,6 +125,10 @@
         """Return an upstream's entry by id."""
         return self._listed.get(upstream_id)
 
+    def has_any(self, service: str) -> bool:
+        """Return whether any upstream of a service is known, usable or not."""
+        return any(item.service == service for item in self._listed.values())
+
     def listed(self) -> tuple[ListedUpstream, ...]:
         """Return the entries listed in the store, without adopted or removed ones."""
         return tuple(
