Tell all routers that an upstream leaves

Each router learned that an upstream leaves by a request of its own: with three routers, three requests reached it after the first response that said so.

Who misses the datagram, or starts later, learns from its first response. Rests aren't shared: the upstream wants nothing of the router that it turned away, and may serve others.

--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -38,6 +38,7 @@
     RunRecord,
     RunUnknown,
     UpstreamAdopted,
+    UpstreamLeaving,
     UpstreamReplaced,
     Zone,
     ZoneLost,
@@ -77,6 +78,7 @@
     RunRecord,
     RunUnknown,
     UpstreamAdopted,
+    UpstreamLeaving,
     UpstreamReplaced,
     ZoneLost,
 )
@@ -131,6 +133,7 @@
         self._listeners: dict[type[Any], Listener] = {}
         placement.health.on_zone_lost = self._report_zone_lost
         placement.limits.on_report = self._report_limit
+        placement.upstreams.notices.on_leaving = self._report_leaving
 
     async def start(self) -> None:
         """Bind the UDP port and start to report load."""
@@ -230,6 +233,10 @@
                 self._placement.set_peer_load(router_id, load, now_ms)
             case LimitReport():
                 self._placement.limits.receive(message, now_ms)
+            case UpstreamLeaving(upstream_id, started_at_ms, value, age_ms):
+                notices = self._placement.upstreams.notices
+                leaving = (upstream_id, started_at_ms)
+                notices.receive_leaving(leaving, value, age_ms, now_ms)
             case UpstreamReplaced(upstream_id, started_at_ms):
                 replaced = (upstream_id, started_at_ms)
                 self._placement.health.record_peer_replaced(replaced, now_ms)
@@ -275,6 +282,9 @@
         for peer in peers:
             self._transport.sendto(data, (peer.host, peer.peer_port))
 
+    def _report_leaving(self, upstream: Incarnation, value: str) -> None:
+        self._send(UpstreamLeaving(*upstream, value, 0.0), self.peer_list.all)
+
     def _report_limit(self, report: LimitReport) -> None:
         is_for_zone = self._placement.limits.is_for_zone(report)
         peers = self.peer_list.in_zone if is_for_zone else self.peer_list.all
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -70,6 +70,7 @@
     RunEnded,
     RunUnknown,
     UpstreamAdopted,
+    UpstreamLeaving,
     UpstreamReplaced,
     ZoneLost,
 )
@@ -245,6 +246,7 @@
     "UpstreamChanges",
     "UpstreamHealth",
     "UpstreamIdentity",
+    "UpstreamLeaving",
     "UpstreamLimits",
     "UpstreamListing",
     "UpstreamNotice",
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -21,6 +21,7 @@
     "RunRecord",
     "RunUnknown",
     "UpstreamAdopted",
+    "UpstreamLeaving",
     "UpstreamReplaced",
     "ZoneLost",
 ]
@@ -105,6 +106,16 @@
     started_at_ms: int
 
 
+@dataclass(frozen=True)
+class UpstreamLeaving:
+    """Report that an upstream said that it leaves, by which value and how long ago."""
+
+    upstream_id: str
+    started_at_ms: int
+    value: str
+    age_ms: float
+
+
 @dataclass(frozen=True)
 class UpstreamAdopted:
     """Announce an engine that started while the store was unreachable."""
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_notices.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_notices.py
@@ -101,6 +101,8 @@
     random: Random = field(default_factory=lambda: Random(0))
 
     on_change: Callable[[NoticeChange], None] = lambda change: None
+    # Called when this router itself learns that an upstream leaves, with its value.
+    on_leaving: Callable[[Incarnation, str], None] = lambda upstream, value: None
     # Rises with each change of the upstreams that leave.
     n_leaving_changes: int = 0
     _leaving: dict[Incarnation, LeavingState] = field(default_factory=dict)
@@ -118,9 +120,18 @@
         if notice.is_leaving and upstream not in self._leaving:
             state = LeavingState(now_ms, notice.leaving_value, True)
             self._add_leaving(upstream, state, now_ms)
+            self.on_leaving(upstream, state.value)
         if notice.rest_ms > 0.0:
             self._rest(upstream, notice, now_ms)
 
+    def receive_leaving(
+        self, upstream: Incarnation, value: str, age_ms: float, now_ms: float
+    ) -> None:
+        """Record that an upstream leaves, by the word of a peer."""
+        if upstream not in self._leaving:
+            state = LeavingState(now_ms - max(0.0, age_ms), value, False)
+            self._add_leaving(upstream, state, now_ms)
+
     def is_leaving(self, upstream: Incarnation) -> bool:
         """Return whether an upstream said that it leaves."""
         return upstream in self._leaving
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
@@ -50,6 +50,24 @@
         self.assertEqual(self.notices.is_leaving(UPSTREAM), kept)
         self.assertEqual([item.is_over for item in self.changes[1:]], [True][kept:])
 
+    @params(0.0, 500.0)
+    def test_a_peers_word_counts_as_an_own_response(self, age_ms):
+        reported = []
+        self.notices.on_leaving = lambda *args: reported.append(args)
+        self.notices.receive_leaving(UPSTREAM, "1", age_ms, 1_000.0)
+        self.notices.record(UPSTREAM, LEAVING, 1_100.0)
+        self.assertTrue(self.notices.is_leaving(UPSTREAM))
+        expected = NoticeChange("u", 1, Notice.LEAVING, "1", age_ms, is_own=False)
+        self.assertEqual((self.changes, reported), ([expected], []))
+
+    def test_peers_are_told_once_that_an_upstream_leaves_but_not_that_it_rests(self):
+        reported = []
+        self.notices.on_leaving = lambda *args: reported.append(args)
+        for _ in range(3):
+            self.notices.record(UPSTREAM, LEAVING, 0.0)
+            self.notices.record(UPSTREAM, resting(), 0.0)
+        self.assertEqual(reported, [(UPSTREAM, "1")])
+
 
 class RestTests(unittest.TestCase):
     def setUp(self):
