Tell routers as a hint which upstreams rest, and callers when they open everywhere

Nine routers each had to be turned away by each resting upstream. A stream that four upstreams had turned away was told 500 ms, as others might be open, and came back into the same rest; others came back to a router at which the rest lasted longer.

Now the first router that is turned away tells its peers. They prefer other upstreams for that time, at most 2 s, but may use it when there is no other: it may serve them, and a response without a rest ends the hint. A request that was turned away is told the end of the rests if at most half of the service's upstreams seem open; the end is that of the last router, after its random share.

--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -40,6 +40,7 @@
     UpstreamAdopted,
     UpstreamLeaving,
     UpstreamReplaced,
+    UpstreamResting,
     Zone,
     ZoneLost,
 )
@@ -80,6 +81,7 @@
     UpstreamAdopted,
     UpstreamLeaving,
     UpstreamReplaced,
+    UpstreamResting,
     ZoneLost,
 )
 
@@ -134,6 +136,7 @@
         placement.health.on_zone_lost = self._report_zone_lost
         placement.limits.on_report = self._report_limit
         placement.upstreams.notices.on_leaving = self._report_leaving
+        placement.upstreams.notices.on_rest = self._report_rest
 
     async def start(self) -> None:
         """Bind the UDP port and start to report load."""
@@ -237,6 +240,11 @@
                 notices = self._placement.upstreams.notices
                 leaving = (upstream_id, started_at_ms)
                 notices.receive_leaving(leaving, value, age_ms, now_ms)
+            case UpstreamResting(upstream_id, started_at_ms, value, rest_ms):
+                resting = (upstream_id, started_at_ms)
+                notices = self._placement.upstreams.notices
+                notices.receive_rest(resting, value, rest_ms, now_ms)
+                self._placement.health.record_peer_rest(resting, rest_ms, now_ms)
             case UpstreamReplaced(upstream_id, started_at_ms):
                 replaced = (upstream_id, started_at_ms)
                 self._placement.health.record_peer_replaced(replaced, now_ms)
@@ -285,6 +293,9 @@
     def _report_leaving(self, upstream: Incarnation, value: str) -> None:
         self._send(UpstreamLeaving(*upstream, value, 0.0), self.peer_list.all)
 
+    def _report_rest(self, upstream: Incarnation, value: str, rest_ms: float) -> None:
+        self._send(UpstreamResting(*upstream, value, rest_ms), self.peer_list.all)
+
     def _report_limit(self, report: LimitReport) -> None:
         is_for_zone = self._placement.limits.is_for_zone(report)
         peers = self.peer_list.in_zone if is_for_zone else self.peer_list.all
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -72,6 +72,7 @@
     UpstreamAdopted,
     UpstreamLeaving,
     UpstreamReplaced,
+    UpstreamResting,
     ZoneLost,
 )
 from bronzeline_kernel.forwarding.peer_reports import Load, LoadByUpstream
@@ -252,6 +253,7 @@
     "UpstreamNotice",
     "UpstreamNotices",
     "UpstreamReplaced",
+    "UpstreamResting",
     "UpstreamSet",
     "WireFormat",
     "WorkKind",
--- a/packages/kernel/bronzeline_kernel/forwarding/health.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/health.py
@@ -50,6 +50,9 @@
     # An upstream whose address another process took over is avoided until the
     # store lists its new entry.
     replaced_avoid_ms: float = 60_000.0
+    # An upstream that turned a peer away may serve this router, and is tried again
+    # after this time at most.
+    max_peer_rest_ms: float = 2_000.0
     # Zones fail as a whole: the failure of one upstream counts against the others
     # of its service and zone until they respond.
     zone_suspect_ms: float = 1_500.0
@@ -205,6 +208,14 @@
         """Record a replacement that a peer reported, without announcing it."""
         self._replace(upstream, now_ms, is_own=False)
 
+    def record_peer_rest(
+        self, upstream: Incarnation, rest_ms: float, now_ms: float
+    ) -> None:
+        """Record that an upstream asked a peer for a rest: prefer others."""
+        record = self._get_record(upstream)
+        until_ms = now_ms + min(rest_ms, self._options.max_peer_rest_ms)
+        record.avoid_until_ms = max(record.avoid_until_ms, until_ms)
+
     def is_avoided(self, upstream: Incarnation, now_ms: float) -> bool:
         """Return whether the upstream should get no work now."""
         record = self._records.get(upstream)
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -23,6 +23,7 @@
     "UpstreamAdopted",
     "UpstreamLeaving",
     "UpstreamReplaced",
+    "UpstreamResting",
     "ZoneLost",
 ]
 
@@ -116,6 +117,16 @@
     age_ms: float
 
 
+@dataclass(frozen=True)
+class UpstreamResting:
+    """Report that an upstream asked this router for a rest, and by which value."""
+
+    upstream_id: str
+    started_at_ms: int
+    value: str
+    rest_ms: float
+
+
 @dataclass(frozen=True)
 class UpstreamAdopted:
     """Announce an engine that started while the store was unreachable."""
--- a/packages/kernel/bronzeline_kernel/forwarding/return_queue.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/return_queue.py
@@ -9,6 +9,7 @@
     return_after_outage_ms,
     useful_return_ms,
 )
+from bronzeline_kernel.forwarding.upstream_notices import MAX_REST_SPREAD_MS
 
 __all__ = ["ALL_LEAVE", "ALL_REST", "Closure", "ReturnQueue"]
 
@@ -61,12 +62,12 @@
     ) -> Closure:
         """Return the closure of a service whose upstreams rest until these times.
 
-        One caller returns each interval for each upstream whose rest has ended by
+        One caller returns each interval for each upstream whose rest ends by about
         then, but none before the first end, also if its own time ends before.
         """
         first_ms = min(ends_at_ms)
         due_ms = max(first_ms, self._due_ms.get(service, 0.0))
-        n_open = sum(end_ms <= due_ms for end_ms in ends_at_ms)
+        n_open = sum(end_ms <= due_ms + MAX_REST_SPREAD_MS for end_ms in ends_at_ms)
         next_due_ms = due_ms + interval_ms / n_open
         self._due_ms[service] = min(next_due_ms, first_ms + MAX_QUEUE_MS)
         queued_ms = useful_return_ms(due_ms - now_ms, left_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
@@ -12,6 +12,10 @@
 
 __all__ = ["SendPermission"]
 
+# A request that was turned away is told when a closed upstream opens if at most this
+# share seems to be open: what is not known yet is mostly closed too.
+MAX_OPEN_SHARE = 0.5
+
 
 @dataclass(frozen=True)
 class SendPermission:
@@ -45,13 +49,14 @@
     def find_closure(
         self, service: str, deadline_ms: float, interval_ms: float, now_ms: float
     ) -> Closure | None:
-        """Return why a service takes no request now, None if one of its upstreams does.
+        """Return why a service takes no request, None if enough of its upstreams do.
 
         `interval_ms` is how long one request usually keeps an upstream from the next.
         """
         usable = self.upstreams.usable(service, now_ms)
         left_ms = deadline_ms - now_ms
-        if any(self.may_send(item, now_ms) for item in usable):
+        n_open = sum(self._is_open(item, now_ms) for item in usable)
+        if n_open > MAX_OPEN_SHARE * len(usable):
             self.returns.open(service)
             return None
         if not usable:
@@ -59,6 +64,13 @@
         closures = self._closures(service, usable, interval_ms, left_ms, now_ms)
         return min(closures, key=lambda item: item.return_ms, default=None)
 
+    def _is_open(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        return self.may_send(upstream, now_ms) and not self._is_closed(upstream, now_ms)
+
+    def _is_closed(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        """Return whether an upstream turned away this router or a peer."""
+        return now_ms < self.upstreams.notices.closed_until_ms(upstream.incarnation)
+
     def _closure_without_upstream(
         self, service: str, left_ms: float, now_ms: float
     ) -> Closure | None:
@@ -74,15 +86,19 @@
         left_ms: float,
         now_ms: float,
     ) -> list[Closure]:
-        resting = [item for item in usable if not self.may_call(item, now_ms)]
-        limited = [item for item in usable if self.may_call(item, now_ms)]
+        notices = self.upstreams.notices
+        # A caller may come back to any router.
+        ends_at_ms = [
+            notices.open_everywhere_at_ms(item.incarnation)
+            for item in usable
+            if self._is_closed(item, now_ms)
+        ]
+        limited = [item for item in usable if not self._is_closed(item, now_ms)]
         closures = []
         limit_ms = self.limits.return_after_ms(service, limited, now_ms)
         if limit_ms is not None:
             closures.append(Closure(LIMITED, useful_return_ms(limit_ms, left_ms)))
-        if resting:
-            notices = self.upstreams.notices
-            ends_at_ms = [notices.rest_ends_at_ms(item.incarnation) for item in resting]
+        if ends_at_ms:
             interval_of_all_ms = self.limits.n_routers * interval_ms
             closures.append(
                 self.returns.after_rests(
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_notices.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_notices.py
@@ -8,6 +8,7 @@
 from random import Random
 
 __all__ = [
+    "MAX_REST_SPREAD_MS",
     "NO_NOTICE",
     "Incarnation",
     "Notice",
@@ -83,11 +84,16 @@
 
 @dataclass(frozen=True)
 class RestState:
-    """Hold when an upstream asked for a rest, by which value, and until when."""
+    """Hold when an upstream asked for a rest, by which value, and until when.
+
+    `latest_ms` is when the rest has ended for the last of the routers that it asked.
+    """
 
     said_at_ms: float
     value: str
     until_ms: float
+    latest_ms: float
+    is_own: bool = True
 
 
 @dataclass
@@ -95,7 +101,8 @@
     """Hold the notices of upstreams by incarnation.
 
     A leaving upstream stays so until it starts again, whatever the store lists. A
-    resting one gets no request of this router until the rest ends.
+    resting one gets no request of this router until the rest ends. That it turned a
+    peer away is only a hint: it may serve this router.
     """
 
     random: Random = field(default_factory=lambda: Random(0))
@@ -103,10 +110,13 @@
     on_change: Callable[[NoticeChange], None] = lambda change: None
     # Called when this router itself learns that an upstream leaves, with its value.
     on_leaving: Callable[[Incarnation, str], None] = lambda upstream, value: None
+    # Called when this router is the first to learn of a rest, with value and length.
+    on_rest: Callable[[Incarnation, str, float], None] = lambda *args: None
     # Rises with each change of the upstreams that leave.
     n_leaving_changes: int = 0
     _leaving: dict[Incarnation, LeavingState] = field(default_factory=dict)
     _resting: dict[Incarnation, RestState] = field(default_factory=dict)
+    _peer_resting: dict[Incarnation, RestState] = field(default_factory=dict)
 
     @property
     def n_leaving(self) -> int:
@@ -123,6 +133,8 @@
             self.on_leaving(upstream, state.value)
         if notice.rest_ms > 0.0:
             self._rest(upstream, notice, now_ms)
+        else:
+            self._peer_resting.pop(upstream, None)
 
     def receive_leaving(
         self, upstream: Incarnation, value: str, age_ms: float, now_ms: float
@@ -145,16 +157,42 @@
         state = self._resting.get(upstream)
         return float("-inf") if state is None else state.until_ms
 
+    def receive_rest(
+        self, upstream: Incarnation, value: str, rest_ms: float, now_ms: float
+    ) -> None:
+        """Record that an upstream asked a peer for a rest."""
+        rest_ms = min(max(0.0, rest_ms), MAX_REST_MS)
+        until_ms = now_ms + rest_ms
+        latest_ms = until_ms + _spread_ms(rest_ms)
+        is_known = self.closed_until_ms(upstream) > now_ms
+        state = RestState(now_ms, value, until_ms, latest_ms, is_own=False)
+        self._peer_resting[upstream] = state
+        if not is_known:
+            self._report_rest(upstream, state, now_ms, is_over=False)
+
+    def closed_until_ms(self, upstream: Incarnation) -> float:
+        """Return when the last rest of an upstream ends, also that of a peer."""
+        state = self._peer_resting.get(upstream)
+        own_ms = self.rest_ends_at_ms(upstream)
+        return own_ms if state is None else max(own_ms, state.until_ms)
+
+    def open_everywhere_at_ms(self, upstream: Incarnation) -> float:
+        """Return when the last router that knows of a rest sends requests again."""
+        states = (self._resting.get(upstream), self._peer_resting.get(upstream))
+        ends_ms = [state.latest_ms for state in states if state is not None]
+        return max(ends_ms, default=float("-inf"))
+
     def n_resting(self, now_ms: float) -> int:
         """Return the number of upstreams that want no requests now."""
         return sum(now_ms < state.until_ms for state in self._resting.values())
 
     def drop_ended(self, now_ms: float) -> None:
         """Drop the rests that have ended."""
-        for upstream, state in list(self._resting.items()):
-            if now_ms >= state.until_ms:
-                del self._resting[upstream]
-                self._report_rest(upstream, state, now_ms, is_over=True)
+        for states in (self._resting, self._peer_resting):
+            for upstream, state in list(states.items()):
+                if now_ms >= state.until_ms:
+                    del states[upstream]
+                    self._report_rest(upstream, state, now_ms, is_over=True)
 
     def keep_only(self, upstreams: set[Incarnation], now_ms: float) -> None:
         """Drop the notices of upstreams that have not been listed for some time."""
@@ -171,14 +209,19 @@
         """Start a rest or prolong the one that lasts; none is shortened."""
         self.drop_ended(now_ms)
         rest_ms = min(notice.rest_ms, MAX_REST_MS)
-        spread_ms = min(MAX_REST_SPREAD_MS, REST_SPREAD_SHARE * rest_ms)
+        spread_ms = _spread_ms(rest_ms)
         until_ms = now_ms + rest_ms + self.random.uniform(0.0, spread_ms)
+        latest_ms = now_ms + rest_ms + spread_ms
+        latest_ms = max(latest_ms, self.open_everywhere_at_ms(upstream))
         is_known = upstream in self._resting
+        is_told = upstream in self._peer_resting
         until_ms = max(until_ms, self.rest_ends_at_ms(upstream))
-        state = RestState(now_ms, notice.rest_value, until_ms)
+        state = RestState(now_ms, notice.rest_value, until_ms, latest_ms)
         self._resting[upstream] = state
         if not is_known:
             self._report_rest(upstream, state, now_ms, is_over=False)
+        if not is_known and not is_told:
+            self.on_rest(upstream, state.value, rest_ms)
 
     def _add_leaving(
         self, upstream: Incarnation, state: LeavingState, now_ms: float
@@ -218,7 +261,12 @@
             Notice.RESTING,
             state.value,
             now_ms - state.said_at_ms,
-            is_over=is_over,
+            state.is_own,
+            is_over,
             for_ms=max(0.0, state.until_ms - now_ms),
         )
         self.on_change(change)
+
+
+def _spread_ms(rest_ms: float) -> float:
+    return min(MAX_REST_SPREAD_MS, REST_SPREAD_SHARE * rest_ms)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
@@ -138,6 +138,24 @@
         self.assertGreaterEqual(fail.retry_after_ms, 2_000.0)
         self.assertLess(fail.retry_after_ms, 2_600.0)
 
+    @params((1, 500.0, 500.0), (2, 2_000.0, 2_600.0), (3, 2_000.0, 2_600.0))
+    def test_rests_of_most_upstreams_tell_when_to_come_back(
+        self, n_known, earliest_ms, latest_ms
+    ):
+        """All rest; of most of them this router knows from itself or a peer."""
+        run, (send,) = self.start(0.0)
+        entries = [send.upstream]
+        others = [x for x in fleet(1) if x.address != send.upstream.address]
+        entries += others
+        notices = self.placement.upstreams.notices
+        notices.record(entries[0].incarnation, resting(2_000.0), 20.0)
+        for entry in entries[1:n_known]:
+            notices.receive_rest(entry.incarnation, "1", 2_000.0, 20.0)
+        run.n_rejected = run.options.max_rejections
+        (fail,) = run.lost(send.number, Fault.FULL, 20.0)
+        self.assertGreaterEqual(fail.retry_after_ms, earliest_ms)
+        self.assertLessEqual(fail.retry_after_ms, latest_ms)
+
     def test_a_call_without_attempts_left_is_told_when_an_upstream_is_back(self):
         run, (send,) = self.start(0.0, 1_200.0, WorkKind.NON_IDEMPOTENT)
         run.route = route(WorkKind.NON_IDEMPOTENT, max_attempts=1)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
@@ -60,13 +60,18 @@
         expected = NoticeChange("u", 1, Notice.LEAVING, "1", age_ms, is_own=False)
         self.assertEqual((self.changes, reported), ([expected], []))
 
-    def test_peers_are_told_once_that_an_upstream_leaves_but_not_that_it_rests(self):
+    def test_peers_are_told_once_that_an_upstream_leaves_and_that_it_rests(self):
         reported = []
         self.notices.on_leaving = lambda *args: reported.append(args)
+        self.notices.on_rest = lambda *args: reported.append(args)
         for _ in range(3):
             self.notices.record(UPSTREAM, LEAVING, 0.0)
             self.notices.record(UPSTREAM, resting(), 0.0)
-        self.assertEqual(reported, [(UPSTREAM, "1")])
+        expected = [(UPSTREAM, "1"), (UPSTREAM, "1", 1_000.0)]
+        self.assertEqual(reported, expected)
+        self.notices.receive_rest(("v", 1), "1", 1_000.0, 0.0)
+        self.notices.record(("v", 1), resting(), 10.0)
+        self.assertEqual(reported, expected)
 
 
 class RestTests(unittest.TestCase):
@@ -122,6 +127,46 @@
         self.assertGreater(max(ends_ms) - min(ends_ms), 150.0)
 
 
+class PeerRestTests(unittest.TestCase):
+    """A peer's rest is a hint: this router may be served."""
+
+    def setUp(self):
+        self.placement = placement(fleet(1))
+        self.notices = self.placement.upstreams.notices
+
+    def receive(self, name, rest_ms=1_000.0):
+        incarnation = self.placement.upstreams.get(name).incarnation
+        self.notices.receive_rest(incarnation, "1", rest_ms, 0.0)
+        self.placement.health.record_peer_rest(incarnation, rest_ms, 0.0)
+        return incarnation
+
+    @params((1_000.0, 999.0, 1_000.0), (30_000.0, 1_999.0, 2_000.0))
+    def test_others_are_preferred_for_a_while(self, rest_ms, last_ms, over_ms):
+        self.receive("zone-a-0", rest_ms)
+        for at_ms, expected in ((last_ms, False), (over_ms, True)):
+            chosen = {
+                self.placement.choose_for_call(ENGINES, at_ms).upstream.upstream_id
+                for _ in range(20)
+            }
+            self.assertEqual("zone-a-0" in chosen, expected)
+
+    def test_it_is_used_if_there_is_no_other(self):
+        for name in ("zone-a-0", "zone-b-0", "zone-c-0"):
+            self.receive(name)
+        self.assertIsNotNone(self.placement.choose_for_call(ENGINES, 1.0))
+        self.assertIsNotNone(self.placement.choose_for_stream(ENGINES, 1.0))
+
+    @params((-5.0, 0.0), (500.0, 500.0), (1e12, 60_000.0))
+    def test_a_peers_rest_is_bounded(self, rest_ms, expected_ms):
+        incarnation = self.receive("zone-a-0", rest_ms)
+        self.assertEqual(self.notices.closed_until_ms(incarnation), expected_ms)
+
+    def test_an_own_response_ends_the_hint(self):
+        incarnation = self.receive("zone-a-0")
+        self.notices.record(incarnation, UpstreamNotice(), 10.0)
+        self.assertEqual(self.notices.closed_until_ms(incarnation), float("-inf"))
+
+
 class NoticePlacementTests(unittest.TestCase):
     def setUp(self):
         self.placement = placement(fleet(1))
