Forward no request whose head was answered 408

A caller could get 408 for an order that then ran. Cause: the timer of a head writes its answer, and closes the connection in the next turn of the loop; if the rest of the head had been read in the same turn, the request was parsed before the close and forwarded. A loop that stands still past the limit is enough for it. The class: a promise is made while what would break it is under way.

--- a/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
@@ -83,6 +83,10 @@
             if not self.is_disconnected:
                 self._connection.finish()
 
+    def suppress(self) -> None:
+        """Send nothing: the caller has been refused on this connection already."""
+        self.is_over = True
+
     def abort(self) -> None:
         """Close the connection, so that the caller sees an incomplete response."""
         if not self.is_over:
--- a/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
@@ -26,6 +26,8 @@
 
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
+        # Set once a request was refused; bytes that are read later are not forwarded.
+        self.has_refused = False
         self._limit_ms = 0.0
         self._is_armed = False
         self._timer: asyncio.TimerHandle | None = None
@@ -57,6 +59,7 @@
     def _refuse(self) -> None:
         """Send 408, since nothing was forwarded, and close the connection."""
         self.stop()
+        self.has_refused = True
         log_event("head_timed_out", limit_ms=round(self._limit_ms))
         try:
             self._stream.write(TIMEOUT_RESPONSE).add_done_callback(self._close)
