Don't tell the caller of a sent call that it was not run

The caller of a repeatable call got 503 `not_run` although an attempt had been sent and may have run. Cause: once all upstreams had failed, the list of those tried is emptied so that they are tried again, and an empty list counted as proof that nothing had been sent. A refusal after that (`overloaded`, `workspace_limit`, `no_upstream`) ended the call with the promise.

The call now remembers that an attempt was sent. A refusal after that is retried until the attempts or their budget are used up; then the caller gets the last answer, or `in_doubt`.

--- a/packages/kernel/bronzeline_kernel/orders/repeatable.py
+++ b/packages/kernel/bronzeline_kernel/orders/repeatable.py
@@ -148,6 +148,7 @@
         self._budget = budget
         self._n_attempts = 0
         self._n_running = 0
+        self._was_sent = False
         self._tried_ids: tuple[str, ...] = ()
         self._failure = OrderResult(OrderStatus.IN_DOUBT, "no_upstream_answered")
 
@@ -162,6 +163,7 @@
             return []
         match message:
             case AttemptStarted(_, upstream_id):
+                self._was_sent = True
                 self._tried_ids = (*self._tried_ids, upstream_id)
                 return []
             case AttemptEnded(_, outcome):
@@ -199,7 +201,7 @@
         self._n_running -= 1
         if self._n_running:
             return []
-        if not self._tried_ids:
+        if not self._was_sent:
             result = OrderResult(OrderStatus.NOT_RUN, code, None, retry_after_ms)
             return self._deliver(result)
         # No untried upstream is left, so those that failed are tried again.
--- a/packages/kernel/bronzeline_kernel/tests/orders/repeatable_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/orders/repeatable_tests.py
@@ -79,6 +79,43 @@
             started_attempts(call.handle(CallTimerFired(), 103.0))[0].excluded_ids, ()
         )
 
+    @params((None, OrderStatus.IN_DOUBT), (BUSY, OrderStatus.ANSWERED))
+    def test_a_sent_call_that_is_then_refused_is_not_told_not_run(
+        self, outcome, status
+    ):
+        call, _ = started_call()
+        call.handle(AttemptStarted(1, "plain-0"), 1.0)
+        call.handle(AttemptEnded(1, outcome), 2.0)
+        results = []
+        for attempt in (2, 3, 4):
+            refusal = AttemptRefused(attempt, "overloaded", 1.0)
+            results += delivered_results(call.handle(refusal, 100.0 * attempt))
+            results += delivered_results(call.handle(CallTimerFired(), 100.0 * attempt))
+        self.assertEqual([result.status for result in results], [status])
+
+    def test_only_a_call_that_no_attempt_sent_is_told_not_run(self):
+        for seed in range(2_000):
+            random = Random(seed)
+            call, actions = started_call()
+            results, waiting, running, n_sent = [], [], [], 0
+            while not call.is_ended:
+                waiting += [item.attempt for item in started_attempts(actions)]
+                if waiting and random.random() < 0.5:
+                    attempt = waiting.pop()
+                    message = AttemptRefused(attempt, "full", 1.0)
+                    if random.random() < 0.5:
+                        message = AttemptStarted(attempt, f"plain-{attempt}")
+                        running.append(attempt)
+                        n_sent += 1
+                elif running and random.random() < 0.5:
+                    message = AttemptEnded(running.pop(), random.choice((BUSY, None)))
+                else:
+                    message = random.choice((CallTimerFired(), CallDeadlinePassed()))
+                actions = call.handle(message, 1.0)
+                results += delivered_results(actions)
+            is_not_run = results[0].status is OrderStatus.NOT_RUN
+            self.assertFalse(is_not_run and n_sent, f"seed {seed}")
+
     def test_caller_gets_exactly_one_result_by_its_deadline(self):
         for seed in range(200):
             random = Random(seed)
