Don't tell the caller of a generation that an engine got that it was not run

A caller with its own time limit got 504 `deadline_passed` with `not_run` of a generation that an engine held. Cause: the handler took the number of the current attempt as proof that none was sent, and that number is 0 between two attempts and after a cancellation. A streamed generation is cancelled at its deadline before its error is written; a whole one was told so if the deadline passed after its engines were lost.

A generation may have run as soon as it has a fencing number: each attempt takes one, and so do a takeover and a run found on another router.

--- a/packages/daemon/bronzeline_daemon/handlers/completions.py
+++ b/packages/daemon/bronzeline_daemon/handlers/completions.py
@@ -77,7 +77,7 @@
     @property
     def was_dispatched(self) -> bool:
         """Return whether the generation was sent to any engine."""
-        return self.run is not None and self.run.machine.attempt > 0
+        return self.run is not None and self.run.machine.may_have_run
 
     @property
     def retry_after_s(self) -> int:
--- a/packages/kernel/bronzeline_kernel/generation/core.py
+++ b/packages/kernel/bronzeline_kernel/generation/core.py
@@ -125,6 +125,11 @@
         """Return whether there were earlier attempts, here or on another router."""
         return bool(self._excluded_ids or self.fence)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt was ever sent, here or on another router."""
+        return bool(self.fence)
+
     @property
     def timer_at_ms(self) -> float | None:
         """Return when to send the next `Tick`, or None if no timer is set."""
--- /dev/null
+++ b/packages/standins/bronzeline_standins/tests/run_status_tests.py
@@ -0,0 +1,71 @@
+import asyncio
+import unittest
+
+import msgspec
+from nose2.tools import params
+
+from bronzeline_daemon.plugins.http_client import HttpClient
+from bronzeline_standins.embedded import EmbeddedFleet
+from bronzeline_standins.ports import HOST
+from bronzeline_standins.topology import GUILD, workspace_key
+
+
+async def send(fleet, path, headers, *, method="POST", body=None, router=0):
+    response = await HttpClient().call(
+        f"http://{HOST}:{fleet.routers[router].caller_port}{path}",
+        method=method,
+        headers={"Authorization": f"Bearer {workspace_key('guild-00')}", **headers},
+        body=body,
+        timeout_ms=10_000.0,
+    )
+    content = msgspec.json.decode(response.body)
+    error = content.get("error")
+    return response.code, error and (error["code"], error["run_status"])
+
+
+def complete(fleet, headers, *, is_streamed=False, router=0):
+    body = {"model": GUILD.model, "prompt": "plan", "stream": is_streamed}
+    data = msgspec.json.encode(body)
+    return send(fleet, "/v1/completions", headers, body=data, router=router)
+
+
+def run(scenario):
+    async def main():
+        fleet = EmbeddedFleet(GUILD, n_routers=2)
+        await fleet.start()
+        try:
+            return await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    return asyncio.run(main())
+
+
+async def started_engines(fleet):
+    """Wait until an engine holds the generation; return the engines that do."""
+    while True:
+        engines = [engine for engine in fleet.engines if engine.model.streams]
+        if engines:
+            return engines
+        await asyncio.sleep(0.005)
+
+
+class GenerationRunStatusTests(unittest.TestCase):
+    @params((True, False), (False, False), (False, True))
+    def test_a_generation_that_an_engine_got_is_not_told_not_run(
+        self, is_streamed, are_engines_lost
+    ):
+        async def scenario(fleet):
+            for engine in fleet.engines:
+                engine.set_faults(is_stalled=True)
+            limit = {"Request-Timeout-Ms": "1000"}
+            answer = asyncio.create_task(
+                complete(fleet, limit, is_streamed=is_streamed)
+            )
+            self.assertTrue(await started_engines(fleet))
+            if are_engines_lost:
+                for engine in fleet.engines:
+                    engine.die()
+            return await answer
+
+        self.assertEqual(run(scenario), (504, ("deadline_passed", "delivered")))
