Don't tell an order resent with an invalid time limit that it was not run

Cause: malformed requests were taken to be refused alike by every router, so no claim was asked; the limit is a header that differs from one send to the next, and the digest of an order does not cover headers.

Such an order is now told `in_doubt`; without a key it stays `not_run`, since nothing else can name it.

Three cases (0, -20 and a word, through a second router after a send that ran once) failed before and pass now.

--- a/packages/daemon/bronzeline_daemon/handlers/plain.py
+++ b/packages/daemon/bronzeline_daemon/handlers/plain.py
@@ -87,7 +87,6 @@
         try:
             call = self._call(workspace, service, path)
         except RequestError as error:
-            self.is_run_status_final = True
             self.refuse_invalid(error)
             return
         outcome = await self._run(call, path)
--- a/packages/standins/bronzeline_standins/tests/run_status_tests.py
+++ b/packages/standins/bronzeline_standins/tests/run_status_tests.py
@@ -9,6 +9,8 @@
 from bronzeline_standins.ports import HOST
 from bronzeline_standins.topology import GUILD, workspace_key
 
+ORDERS = f"/services/{GUILD.plain_service}/orders"
+
 
 async def send(fleet, path, headers, *, method="POST", body=None, router=0):
     response = await HttpClient().call(
@@ -69,3 +71,20 @@
             return await answer
 
         self.assertEqual(run(scenario), (504, ("deadline_passed", "delivered")))
+
+
+class OrderRunStatusTests(unittest.TestCase):
+    @params("0", "-20", "soon")
+    def test_a_resend_with_an_invalid_time_limit_is_not_told_not_run(self, limit_ms):
+        async def scenario(fleet):
+            key = {"Idempotency-Key": "robe"}
+            first = await send(fleet, ORDERS, key, body=b"a robe")
+            self.assertEqual(first, (200, None))
+            invalid = {**key, "Request-Timeout-Ms": limit_ms}
+            resent = await send(fleet, ORDERS, invalid, body=b"a robe", router=1)
+            without_key = {"Request-Timeout-Ms": limit_ms}
+            return resent, await send(fleet, ORDERS, without_key, body=b"a robe")
+
+        resent, without_key = run(scenario)
+        self.assertEqual(resent, (400, ("invalid_header", "in_doubt")))
+        self.assertEqual(without_key, (400, ("invalid_header", "not_run")))
