Don't tell an order by GET or HEAD that it was not run by another router

The caller of an order by GET, on a route that may not be repeated, got 503 `stopping` with `not_run` for a resend at a router that was stopping, although the first send had run. Cause: refusals ahead of the claim took GET and HEAD to be repeatable by themselves, whereas the route decides, and a router without a configuration knows no route.

A refusal without a claim is now `in_doubt` for every call with a key, whatever its method.

The case with GET failed before and passes now; the same with POST passed before.

--- a/packages/daemon/bronzeline_daemon/handlers/plain.py
+++ b/packages/daemon/bronzeline_daemon/handlers/plain.py
@@ -74,7 +74,7 @@
         super().refuse(status, code, message, run_status, retry_after_s, param)
 
     def _may_run_elsewhere(self) -> bool:
-        if self.is_run_status_final or self.request.method in SAFE_METHODS:
+        if self.is_run_status_final:
             return False
         headers = self.request.headers
         return bool(headers.get(KEY_HEADER)) and "Authorization" in headers
--- a/packages/standins/bronzeline_standins/tests/run_status_tests.py
+++ b/packages/standins/bronzeline_standins/tests/run_status_tests.py
@@ -1,13 +1,15 @@
 import asyncio
 import unittest
+from dataclasses import dataclass, fields, replace
 
 import msgspec
 from nose2.tools import params
 
 from bronzeline_daemon.plugins.http_client import HttpClient
+from bronzeline_kernel.config import Route
 from bronzeline_standins.embedded import EmbeddedFleet
 from bronzeline_standins.ports import HOST
-from bronzeline_standins.topology import GUILD, workspace_key
+from bronzeline_standins.topology import GUILD, Topology, workspace_key
 
 ORDERS = f"/services/{GUILD.plain_service}/orders"
 
@@ -31,9 +33,24 @@
     return send(fleet, "/v1/completions", headers, body=data, router=router)
 
 
-def run(scenario):
+@dataclass(frozen=True)
+class OrdersOnlyTopology(Topology):
+    def fleet_config(self, defaults=None):
+        config = super().fleet_config(defaults)
+        routes = (Route("POST", "/", False), Route("GET", "/", False))
+        service = replace(config.services[self.plain_service], routes=routes)
+        services = {**config.services, self.plain_service: service}
+        return replace(config, services=services)
+
+
+ORDERS_ONLY = OrdersOnlyTopology(
+    **{item.name: getattr(GUILD, item.name) for item in fields(GUILD)}
+)
+
+
+def run(scenario, topology=GUILD):
     async def main():
-        fleet = EmbeddedFleet(GUILD, n_routers=2)
+        fleet = EmbeddedFleet(topology, n_routers=2)
         await fleet.start()
         try:
             return await scenario(fleet)
@@ -88,3 +105,17 @@
         resent, without_key = run(scenario)
         self.assertEqual(resent, (400, ("invalid_header", "in_doubt")))
         self.assertEqual(without_key, (400, ("invalid_header", "not_run")))
+
+    @params(("POST", ORDERS, b"a robe"), ("GET", f"{ORDERS}/robe", None))
+    def test_a_resent_order_is_not_told_not_run_by_a_stopping_router(
+        self, method, path, body
+    ):
+        async def scenario(fleet):
+            key = {"Idempotency-Key": "robe"}
+            first = await send(fleet, path, key, method=method, body=body)
+            self.assertEqual(first, (200, None))
+            fleet.routers[1].lifecycle.is_closing = True
+            return await send(fleet, path, key, method=method, body=body, router=1)
+
+        resent = run(scenario, ORDERS_ONLY)
+        self.assertEqual(resent, (503, ("stopping", "in_doubt")))
