Don't tell a generation with a key that it was not run by another router

A caller that came back with its `Idempotency-Key` or `Last-Event-ID` was told `not_run` by a router that refused it (503 stopping, no_upstream; 400 invalid_header, unknown_event_id; 401 unknown_key), although another router had run the generation and the caller held its tokens. Cause: only calls on plain services asked whether another router may have run the request; generations took it as proof that this one had not.

The rule for calls now holds for every handler, and for failures of a generation that this router never sent to an engine: `in_doubt` where the request names an earlier send, `not_run` where nothing does, as before.

--- a/packages/daemon/bronzeline_daemon/handlers/base.py
+++ b/packages/daemon/bronzeline_daemon/handlers/base.py
@@ -11,6 +11,8 @@
 from tornado.web import RequestHandler
 
 from bronzeline_daemon.handlers.errors import (
+    IN_DOUBT,
+    NOT_RUN,
     RETRY_AFTER_S,
     ErrorBody,
     ErrorDetail,
@@ -20,9 +22,18 @@
 from bronzeline_daemon.router_services import RouterServices
 from bronzeline_kernel.exceptions import RequestError
 
-__all__ = ["TIMEOUT_HEADER", "CallerHandler", "NotFoundHandler", "bearer_sha256"]
+__all__ = [
+    "EVENT_HEADER",
+    "KEY_HEADER",
+    "TIMEOUT_HEADER",
+    "CallerHandler",
+    "NotFoundHandler",
+    "bearer_sha256",
+]
 
 BEARER_PREFIX = "Bearer "
+KEY_HEADER = "Idempotency-Key"
+EVENT_HEADER = "Last-Event-ID"
 STATUS_BY_CODE = {"unknown_model": HTTPStatus.NOT_FOUND}
 TIMEOUT_HEADER = "Request-Timeout-Ms"
 
@@ -30,6 +41,9 @@
 class CallerHandler(RequestHandler):
     """Authenticate callers, track open requests and send typed errors."""
 
+    # Whether a run status `not_run` is proven, for every send of the request.
+    is_run_status_final = False
+
     def initialize(self, services: RouterServices) -> None:
         """Store the services, which tornado passes from the route's options."""
         self.services = services
@@ -56,15 +70,15 @@
         """Return the workspace of the caller's key, or refuse and return None."""
         if self.services.lifecycle.is_closing:
             message = "this router is stopping; another one takes new requests"
-            self.refuse(503, "stopping", message, "not_run", RETRY_AFTER_S)
+            self.refuse(503, "stopping", message, NOT_RUN, RETRY_AFTER_S)
             return None
         if not self.services.rollout.is_loaded:
             message = "this router has no configuration yet; try another one"
-            self.refuse(503, "not_ready", message, "not_run", RETRY_AFTER_S)
+            self.refuse(503, "not_ready", message, NOT_RUN, RETRY_AFTER_S)
             return None
         name = self.services.workspace_keys.find(bearer_sha256(self))
         if name is None:
-            self.refuse(401, "unknown_key", "no workspace has this key", "not_run")
+            self.refuse(401, "unknown_key", "no workspace has this key", NOT_RUN)
         return name
 
     def timeout_ms(self, default_ms: float) -> float:
@@ -81,6 +95,15 @@
             raise RequestError("invalid_header", message, TIMEOUT_HEADER)
         return min(timeout_ms, default_ms)
 
+    @property
+    def may_run_elsewhere(self) -> bool:
+        """Return whether an earlier send of the request may run on another router."""
+        if self.is_run_status_final:
+            return False
+        headers = self.request.headers
+        is_named = bool(headers.get(KEY_HEADER) or headers.get(EVENT_HEADER))
+        return is_named and "Authorization" in headers
+
     def refuse(
         self,
         status: int,
@@ -90,14 +113,16 @@
         retry_after_s: int | None = None,
         param: str | None = None,
     ) -> None:
-        """Finish with an error body built from its parts."""
+        """Finish with an error; `not_run` is `in_doubt` if it may run elsewhere."""
+        if run_status == NOT_RUN and self.may_run_elsewhere:
+            run_status = IN_DOUBT
         detail = ErrorDetail(message, error_type(status), code, run_status, param=param)
         self.finish_error(status, detail, retry_after_s)
 
     def refuse_invalid(self, error: RequestError) -> None:
         """Finish with status 400, or 404 for an unknown model, and the error's text."""
         status = STATUS_BY_CODE.get(error.code, HTTPStatus.BAD_REQUEST)
-        self.refuse(status, error.code, str(error), "not_run", param=error.param)
+        self.refuse(status, error.code, str(error), NOT_RUN, param=error.param)
 
     def finish_error(
         self, status: int, detail: ErrorDetail, retry_after_s: int | None = None
@@ -121,7 +146,7 @@
         """Send a typed body for an unhandled exception or an HTTP error of tornado."""
         is_known = status_code < HTTPStatus.INTERNAL_SERVER_ERROR
         code = "unsupported" if is_known else "internal_error"
-        status = "not_run" if is_known else "in_doubt"
+        status = NOT_RUN if is_known else IN_DOUBT
         self.refuse(status_code, code, HTTPStatus(status_code).phrase, status)
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
@@ -137,7 +162,7 @@
         """Refuse the request before its method is looked up."""
         super().prepare()
         path = self.request.path
-        self.refuse(404, "unknown_path", f"unknown path {path}", "not_run")
+        self.refuse(404, "unknown_path", f"unknown path {path}", NOT_RUN)
 
 
 def bearer_sha256(handler: RequestHandler) -> str:
--- a/packages/daemon/bronzeline_daemon/handlers/completions.py
+++ b/packages/daemon/bronzeline_daemon/handlers/completions.py
@@ -10,7 +10,7 @@
 from math import ceil
 
 from bronzeline_daemon.generation_service import AnswerEvent, GenerationRun
-from bronzeline_daemon.handlers.base import TIMEOUT_HEADER
+from bronzeline_daemon.handlers.base import EVENT_HEADER, KEY_HEADER, TIMEOUT_HEADER
 from bronzeline_daemon.handlers.completion_body import (
     CompletionBody,
     check_max_tokens,
@@ -119,8 +119,8 @@
             sampling_seed=body.seed or 0,
             temperature=1.0 if body.temperature is None else body.temperature,
             deadline_ms=self.timeout_ms(resolve("generation_deadline_ms").value),
-            idempotency_key=self.request.headers.get("Idempotency-Key", ""),
-            last_event_id=self.request.headers.get("Last-Event-ID", ""),
+            idempotency_key=self.request.headers.get(KEY_HEADER, ""),
+            last_event_id=self.request.headers.get(EVENT_HEADER, ""),
         )
 
     async def _generate(self, spec: GenerationSpec, body: CompletionBody) -> None:
--- a/packages/daemon/bronzeline_daemon/handlers/errors.py
+++ b/packages/daemon/bronzeline_daemon/handlers/errors.py
@@ -10,6 +10,9 @@
 __all__ = ["ErrorBody", "ErrorDetail", "error_kind", "failure_detail"]
 
 RETRY_AFTER_S = 1
+NOT_RUN = "not_run"
+IN_DOUBT = "in_doubt"
+DELIVERED = "delivered"
 
 
 class ErrorDetail(msgspec.Struct, frozen=True):
@@ -114,8 +117,15 @@
     return "server_error"
 
 
-def failure_detail(code: str, n_delivered: int, *, was_dispatched: bool) -> ErrorDetail:
+def failure_detail(
+    code: str,
+    n_delivered: int,
+    *,
+    was_dispatched: bool,
+    may_run_elsewhere: bool = False,
+) -> ErrorDetail:
     """Build the error of a generation that failed before its response was complete."""
+    run_status = IN_DOUBT if may_run_elsewhere else NOT_RUN
     kind = error_kind(code)
     message = kind.message
     if n_delivered:
@@ -124,6 +134,6 @@
         message=message,
         type=error_type(kind.status),
         code=code,
-        run_status="delivered" if was_dispatched else "not_run",
+        run_status=DELIVERED if was_dispatched else run_status,
         n_delivered=n_delivered,
     )
--- a/packages/daemon/bronzeline_daemon/handlers/plain.py
+++ b/packages/daemon/bronzeline_daemon/handlers/plain.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from math import ceil
 
-from bronzeline_daemon.handlers.base import CallerHandler
+from bronzeline_daemon.handlers.base import KEY_HEADER, CallerHandler
 from bronzeline_daemon.order_service import OrderResult, OrderStatus, PlainCall
 from bronzeline_kernel.config import ServiceConfig
 from bronzeline_kernel.exceptions import RequestError
@@ -14,7 +14,6 @@
 
 __all__ = ["PlainHandler"]
 
-KEY_HEADER = "Idempotency-Key"
 STATUS_BY_REASON = {"key_reused": 422, "unknown_service": 404, "answer_not_kept": 410}
 STATUS_BY_RESULT = {
     OrderStatus.ANSWERED: 410,
@@ -33,8 +32,6 @@
 class PlainHandler(CallerHandler):
     """Forward requests under `/services/NAME/` to the named plain service."""
 
-    is_run_status_final = False
-
     async def get(self, service: str, path: str) -> None:
         """Forward a GET request."""
         await self._forward(service, path)
@@ -59,26 +56,6 @@
         """Forward a DELETE request."""
         await self._forward(service, path)
 
-    def refuse(
-        self,
-        status: int,
-        code: str,
-        message: str,
-        run_status: str,
-        retry_after_s: int | None = None,
-        param: str | None = None,
-    ) -> None:
-        """Refuse; report `not_run` only if no other router may have run the call."""
-        if run_status == OrderStatus.NOT_RUN and self._may_run_elsewhere():
-            run_status = OrderStatus.IN_DOUBT
-        super().refuse(status, code, message, run_status, retry_after_s, param)
-
-    def _may_run_elsewhere(self) -> bool:
-        if self.is_run_status_final:
-            return False
-        headers = self.request.headers
-        return bool(headers.get(KEY_HEADER)) and "Authorization" in headers
-
     async def _forward(self, service: str, path: str) -> None:
         started_at_ms = self.services.clock.now_ms()
         workspace = self.authenticate()
--- a/packages/daemon/bronzeline_daemon/handlers/responses.py
+++ b/packages/daemon/bronzeline_daemon/handlers/responses.py
@@ -186,7 +186,10 @@
     """Finish with the HTTP status and error body of a failed generation."""
     kind = error_kind(event.code)
     detail = failure_detail(
-        event.code, event.n_delivered, was_dispatched=handler.was_dispatched
+        event.code,
+        event.n_delivered,
+        was_dispatched=handler.was_dispatched,
+        may_run_elsewhere=handler.may_run_elsewhere,
     )
     retry_after_s = handler.retry_after_s if kind.can_retry else None
     handler.finish_error(kind.status, detail, retry_after_s)
--- a/packages/daemon/bronzeline_daemon/tests/handlers/responses_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/handlers/responses_tests.py
@@ -37,6 +37,7 @@
         self.connection = FakeConnection(self)
         self.is_slow = is_slow
         self.was_dispatched = True
+        self.may_run_elsewhere = False
         self.retry_after_s = 4
         self.writes = []
         self.pending = []
@@ -183,6 +184,18 @@
         self.assertEqual(handler.detail.run_status, run_status)
         self.assertEqual(handler.sent_retry_after_s, retry_after_s)
 
+    @params(("no_upstream", False, "in_doubt"), ("overloaded", True, "delivered"))
+    def test_a_failure_of_what_may_run_elsewhere_is_not_told_not_run(
+        self, code, was_dispatched, run_status
+    ):
+        async def scenario(handler, response):
+            handler.was_dispatched = was_dispatched
+            handler.may_run_elsewhere = True
+            response.write_event(FailAnswer(code, 0))
+            await response.wait()
+
+        self.assertEqual(run(scenario).detail.run_status, run_status)
+
     def test_a_failure_after_tokens_is_an_event_with_their_number(self):
         async def scenario(handler, response):
             for event in [*deliver("a", "b"), FailAnswer("no_upstream", 2)]:
--- a/packages/standins/bronzeline_standins/tests/run_status_tests.py
+++ b/packages/standins/bronzeline_standins/tests/run_status_tests.py
@@ -28,8 +28,8 @@
 
 
 def complete(fleet, headers, *, is_streamed=False, router=0):
-    body = {"model": GUILD.model, "prompt": "plan", "stream": is_streamed}
-    data = msgspec.json.encode(body)
+    body = {"model": GUILD.model, "prompt": "plan", "max_tokens": 3}
+    data = msgspec.json.encode({**body, "stream": is_streamed})
     return send(fleet, "/v1/completions", headers, body=data, router=router)
 
 
@@ -69,6 +69,16 @@
         await asyncio.sleep(0.005)
 
 
+async def wait_until_refused(fleet, code):
+    """Send other generations until router 1 refuses one with the code."""
+    for _ in range(500):
+        _, error = await complete(fleet, {}, router=1)
+        if error and error[0] == code:
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError(f"router 1 refuses nothing as {code}")
+
+
 class GenerationRunStatusTests(unittest.TestCase):
     @params((True, False), (False, False), (False, True))
     def test_a_generation_that_an_engine_got_is_not_told_not_run(
@@ -89,6 +99,38 @@
 
         self.assertEqual(run(scenario), (504, ("deadline_passed", "delivered")))
 
+    @params(
+        ({"Request-Timeout-Ms": "0"}, 400, "invalid_header"),
+        ({"Last-Event-ID": "of an earlier release"}, 400, "unknown_event_id"),
+        ({"Authorization": "Bearer of another fleet"}, 401, "unknown_key"),
+    )
+    def test_a_resent_generation_is_not_told_not_run(self, changes, status, code):
+        async def scenario(fleet):
+            key = {"Idempotency-Key": "plan"}
+            self.assertEqual((await complete(fleet, key))[0], 200)
+            return await complete(fleet, {**key, **changes}, router=1)
+
+        self.assertEqual(run(scenario), (status, (code, "in_doubt")))
+
+    @params((503, "stopping"), (503, "no_upstream"))
+    def test_a_resent_generation_is_not_told_not_run_by_a_router_without_room(
+        self, status, code
+    ):
+        async def scenario(fleet):
+            key = {"Idempotency-Key": "plan"}
+            self.assertEqual((await complete(fleet, key))[0], 200)
+            if code == "stopping":
+                fleet.routers[1].lifecycle.is_closing = True
+            else:
+                fleet.set_leaving(*(item.upstream_id for item in fleet.engines))
+                await wait_until_refused(fleet, code)
+            resent = await complete(fleet, {"Idempotency-Key": "plan"}, router=1)
+            return resent, await complete(fleet, {}, router=1)
+
+        resent, without_key = run(scenario)
+        self.assertEqual(resent, (status, (code, "in_doubt")))
+        self.assertEqual(without_key, (status, (code, "not_run")))
+
 
 class OrderRunStatusTests(unittest.TestCase):
     @params("0", "-20", "soon")
