Don't say in the message of a call in doubt that it did not run

The caller of a repeatable call with a key that found no upstream got `run_status` `in_doubt`, as another router may have run it, beside the message "the call did not run and will not run". Cause: the message was made from the result of this router before the run status was corrected.

Both now come from what is known.

--- a/packages/daemon/bronzeline_daemon/handlers/plain.py
+++ b/packages/daemon/bronzeline_daemon/handlers/plain.py
@@ -143,9 +143,11 @@
 
     def _refuse_result(self, result: OrderResult) -> None:
         status = STATUS_BY_REASON.get(result.reason, STATUS_BY_RESULT[result.status])
-        message = MESSAGE_BY_RESULT[result.status].format(reason=result.reason)
+        is_unproven = result.status is OrderStatus.NOT_RUN and self.may_run_elsewhere
+        known = OrderStatus.IN_DOUBT if is_unproven else result.status
+        message = MESSAGE_BY_RESULT[known].format(reason=result.reason)
         retry_after_s = ceil(result.retry_after_ms / 1000.0) or None
-        self.refuse(status, result.reason, message, result.status, retry_after_s)
+        self.refuse(status, result.reason, message, known, retry_after_s)
 
 
 def _is_repeatable(config: ServiceConfig, method: str, path: str) -> bool:
--- a/packages/standins/bronzeline_standins/tests/run_status_tests.py
+++ b/packages/standins/bronzeline_standins/tests/run_status_tests.py
@@ -14,7 +14,13 @@
 ORDERS = f"/services/{GUILD.plain_service}/orders"
 
 
-async def send(fleet, path, headers, *, method="POST", body=None, router=0):
+async def send(fleet, path, headers, **options):
+    status, content = await call(fleet, path, headers, **options)
+    error = content.get("error")
+    return status, error and (error["code"], error["run_status"])
+
+
+async def call(fleet, path, headers, *, method="POST", body=None, router=0):
     response = await HttpClient().call(
         f"http://{HOST}:{fleet.routers[router].caller_port}{path}",
         method=method,
@@ -22,9 +28,7 @@
         body=body,
         timeout_ms=10_000.0,
     )
-    content = msgspec.json.decode(response.body)
-    error = content.get("error")
-    return response.code, error and (error["code"], error["run_status"])
+    return response.code, msgspec.json.decode(response.body)
 
 
 def complete(fleet, headers, *, is_streamed=False, router=0):
@@ -161,3 +165,22 @@
 
         resent = run(scenario, ORDERS_ONLY)
         self.assertEqual(resent, (503, ("stopping", "in_doubt")))
+
+    @params(({}, "not_run"), ({"Idempotency-Key": "robe"}, "in_doubt"))
+    def test_the_message_of_a_refused_call_says_no_more_than_its_run_status(
+        self, headers, run_status
+    ):
+        async def scenario(fleet):
+            fleet.set_leaving(*(item.upstream_id for item in fleet.plain_servers))
+            for _ in range(500):
+                path = f"{ORDERS}/robe"
+                status, content = await call(fleet, path, headers, method="GET")
+                if status != 200:
+                    return status, content["error"]
+                await asyncio.sleep(0.01)
+            raise AssertionError("the call is never refused")
+
+        status, error = run(scenario)
+        self.assertEqual((status, error["run_status"]), (503, run_status))
+        says_not_run = "did not run and will not run" in error["message"]
+        self.assertEqual(says_not_run, run_status == "not_run")
