Keep an order's outcome for the retention from when it is known

Its caller, who had been told to resend under the same key, then placed it a second time; and a claim turned `not_run` as late no longer stood behind that promise. Cause: the retention counted from when the claim was made, whereas claims in doubt are kept without limit.

Final claims now carry the time of their decision (`decided_at_s`), from which the retention counts; claims without it count as before.

--- a/packages/daemon/bronzeline_daemon/order_service/claim_store.py
+++ b/packages/daemon/bronzeline_daemon/order_service/claim_store.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import replace
 
 from bronzeline_kernel.exceptions import (
     AnswerLostError,
@@ -29,13 +32,21 @@
 class ClaimStore:
     """Read, write and watch the claims of orders."""
 
-    def __init__(self, store: ObjectStore) -> None:
+    def __init__(
+        self, store: ObjectStore, wall_clock_s: Callable[[], float] = time.time
+    ) -> None:
         self._store = store
+        self._wall_clock_s = wall_clock_s
 
     async def write(
         self, key: str, claim: Claim, expected_version: int
     ) -> ClaimWritten | ClaimConflict | WriteOutcomeUnknown | StoreUnavailable:
-        """Write a claim if the stored version is the expected one; 0 means none."""
+        """Write a claim if the stored version is the expected one; 0 means none.
+
+        A final claim gets the time of its decision, from which its retention counts.
+        """
+        if claim.state.is_final:
+            claim = replace(claim, decided_at_s=self._wall_clock_s())
         try:
             version = await self._store.put(
                 key, encode_claim(claim), expected_version=expected_version
--- a/packages/daemon/bronzeline_daemon/order_service/claim_sweep.py
+++ b/packages/daemon/bronzeline_daemon/order_service/claim_sweep.py
@@ -95,7 +95,12 @@
         outcome = await self._order_look_up.find(claim.labels)
         if outcome is None:
             return
-        done = replace(claim, state=ClaimState.DONE, outcome=outcome)
+        done = replace(
+            claim,
+            state=ClaimState.DONE,
+            outcome=outcome,
+            decided_at_s=self._wall_clock_s(),
+        )
         await self._store.put(
             stored.key, encode_claim(done), expected_version=stored.version
         )
--- a/packages/daemon/bronzeline_daemon/order_service/service.py
+++ b/packages/daemon/bronzeline_daemon/order_service/service.py
@@ -87,7 +87,7 @@
         self._rollout = rollout
         order_look_up = OrderLookUp(plain, dispatch, clock, self._has_look_up)
         self._context = RunContext(
-            ClaimStore(store), plain, dispatch, order_look_up, clock
+            ClaimStore(store, wall_clock_s), plain, dispatch, order_look_up, clock
         )
         sweeper = ClaimSweeper(owner.split("/")[0], random)
         self._sweep = ClaimSweepTask(
--- a/packages/daemon/bronzeline_daemon/tests/order_service/claim_sweep_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/order_service/claim_sweep_tests.py
@@ -73,3 +73,9 @@
         self.assertEqual(sorted(store.objects), [f"claims/{n}" for n in range(4)])
         self.assertEqual(store.claim(2).outcome, FOUND_OUTCOME)
         self.assertEqual(store.claim(3).state, ClaimState.CLAIMED)
+
+    async def test_the_outcome_of_an_order_long_in_doubt_is_not_deleted_at_once(self):
+        store = FakeStore([claim(ClaimState.CLAIMED, 900.0, "ran")])
+        sweep = make_sweep(store)
+        self.assertEqual([await sweep.sweep("claims/") for _ in range(2)], [0, 0])
+        self.assertEqual(store.claim(0).outcome, FOUND_OUTCOME)
--- a/packages/kernel/bronzeline_kernel/orders/claim.py
+++ b/packages/kernel/bronzeline_kernel/orders/claim.py
@@ -61,6 +61,7 @@
     claimed_at_s: float = 0.0
     is_confirmed: bool = False
     labels: dict[str, str] = field(default_factory=dict)
+    decided_at_s: float = 0.0
 
 
 def claim_key(workspace: str, service: str, idempotency_key: str) -> str:
--- a/packages/kernel/bronzeline_kernel/orders/sweep.py
+++ b/packages/kernel/bronzeline_kernel/orders/sweep.py
@@ -59,8 +59,9 @@
 
 
 def is_expired(claim: Claim, now_s: float, retention_ms: float) -> bool:
-    """Return whether a claim is final and older than the retention period."""
-    is_old = now_s - claim.claimed_at_s > retention_ms / MS_PER_S
+    """Return whether a claim was decided longer ago than the retention period."""
+    decided_at_s = max(claim.claimed_at_s, claim.decided_at_s)
+    is_old = now_s - decided_at_s > retention_ms / MS_PER_S
     return claim.state.is_final and is_old
 
 
