Carry a request id once on a connection, also when its caller sends it again

The mend for second attempts knew only the attempts of one run.

Each connection knows the ids of its latest 32 requests, and the pool does not hand it out for one of them. The relay no longer compares addresses; a second attempt at an upstream may use another idle connection.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -55,9 +55,6 @@
     wire: WireFormat
     listener: AttemptListener
     started_at_ms: float
-    # False if an earlier attempt of the request went to this address: a late
-    # response to it bears the same id, so it must not share the connection.
-    may_reuse_connection: bool = True
     head: ResponseHead | None = None
     _connection: Connection | None = None
     _task: asyncio.Task[None] | None = field(default=None)
@@ -82,7 +79,7 @@
     @property
     def n_earlier_requests(self) -> int:
         """Return how many requests the attempt's connection has carried before."""
-        return self._connection.n_earlier_requests if self._connection else 0
+        return self._connection.n_requests - 1 if self._connection else 0
 
     async def _run(self) -> None:
         number = self.send.number
@@ -98,7 +95,7 @@
         address = self.send.upstream.address
         try:
             connection = await self.connection_pool.acquire(
-                address, may_reuse=self.may_reuse_connection
+                address, request_id=self.request.request_id
             )
         except UpstreamUnreachableError:
             return Fault.UNREACHABLE
--- a/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
@@ -33,6 +33,8 @@
 KEEP_ALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 MAX_IDLE_PER_ADDRESS = 16
+# A response is late by the time of a few requests at most.
+MAX_REQUEST_IDS = 32
 
 
 class Connection(IOStream):
@@ -40,8 +42,22 @@
 
     # All connections of the process share one event loop.
     read_limit: ClassVar[ReadLimit] = ReadLimit()
-    # How many requests the connection has carried before the current one.
-    n_earlier_requests = 0
+    # How many requests the connection has carried, and the ids of the latest ones.
+    n_requests = 0
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock)
+        self._request_ids: deque[str] = deque(maxlen=MAX_REQUEST_IDS)
+
+    def record_request(self, request_id: str) -> None:
+        """Record that the connection carries a request with this id."""
+        self.n_requests += 1
+        if request_id:
+            self._request_ids.append(request_id)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether one of the latest requests had this id."""
+        return request_id in self._request_ids
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read into a buffer; return None if nothing may be read in this turn."""
@@ -88,14 +104,19 @@
         address: Address,
         timeout_ms: float = CONNECT_TIMEOUT_MS,
         *,
-        may_reuse: bool = True,
+        request_id: str = "",
     ) -> Connection:
-        """Return an idle or a new connection; raises `UpstreamUnreachableError`."""
-        connection = self._pop_idle(address) if may_reuse else None
-        if connection is not None:
-            return connection
-        self.n_opened += 1
-        return await connect(address, timeout_ms)
+        """Return an idle or a new connection; raises `UpstreamUnreachableError`.
+
+        A connection that has carried the id of the request is not reused for it: a
+        late response to the earlier attempt would bear the same id.
+        """
+        connection = self._pop_idle(address, request_id)
+        if connection is None:
+            self.n_opened += 1
+            connection = await connect(address, timeout_ms)
+        connection.record_request(request_id)
+        return connection
 
     def release(
         self, address: Address, connection: Connection, keep_alive_ms: float | None
@@ -105,7 +126,6 @@
         if connection.closed() or len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
-        connection.n_earlier_requests += 1
         usable_ms = IDLE_SHARE * (keep_alive_ms or DEFAULT_IDLE_MS)
         idle.append(IdleConnection(connection, self._clock.now_ms() + usable_ms))
         self._close_expired(idle)
@@ -117,10 +137,12 @@
                 entry.connection.close()
         self._idle.clear()
 
-    def _pop_idle(self, address: Address) -> Connection | None:
-        idle = self._idle.get(address)
-        while idle:
-            entry = idle.pop()
+    def _pop_idle(self, address: Address, request_id: str) -> Connection | None:
+        idle = self._idle.get(address, deque())
+        for entry in reversed(tuple(idle)):
+            if entry.connection.has_carried(request_id):
+                continue
+            idle.remove(entry)
             is_fresh = self._clock.now_ms() < entry.usable_until_ms
             if is_fresh and entry.connection.is_idle:
                 return entry.connection
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -33,7 +33,6 @@
     Fault,
     FindEarlierRun,
     Finish,
-    ListedUpstream,
     Probe,
     ResponseHead,
     Send,
@@ -216,7 +215,6 @@
             self.context.wire,
             self._listener,
             self.now_ms(),
-            may_reuse_connection=not self._was_sent_to(action.upstream),
         )
         self._attempts[action.number] = attempt
         self.context.metrics.attempt_sent(attempt_origin(action))
@@ -226,13 +224,6 @@
         )
         attempt.start()
 
-    def _was_sent_to(self, upstream: ListedUpstream) -> bool:
-        """Return whether an earlier attempt went to the address of an upstream."""
-        return any(
-            attempt.send.upstream.address == upstream.address
-            for attempt in self._attempts.values()
-        )
-
     def _abandon(self, number: int) -> None:
         attempt = self._attempts.get(number)
         if attempt is not None:
