Blame no request and no zone for the end of an upstream that left

An engine that left as planned and cut its streams was reported as dead: the requests that ran there counted as suspected of ending engines, up to their refusal after three such ends, and its zone as suspect. Cause: the check after a broken connection asked only whether the engine accepts a connection.

Now the end of an upstream that leaves, by its response or the list, or that the list no longer has, is no death and no loss of its zone.

Tests on the code before: leaving_tests 3 of 21 failed (`engine_died` in the log), of upstream_notices_tests 4 of 56. Now both pass, as do crashing_part_tests 7, engine_death_log_tests 1, whole_path_tests 59, stream_run_tests 45, stream_silence_tests 18, call_run_tests 43, zone_loss_load_tests 3, notice_load_tests 6.

--- a/packages/daemon/bronzeline_daemon/forwarding/death_check.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/death_check.py
@@ -28,8 +28,13 @@
     on_died: Callable[[], None]
 
     def start(self, attempt: Attempt) -> None:
-        """Probe the upstream; nothing is reported if it accepts a connection."""
+        """Probe the upstream; nothing is reported if it accepts a connection.
+
+        No request is to blame for the end of an upstream that left.
+        """
         upstream = attempt.send.upstream
+        if not self.context.is_staying(upstream):
+            return
         broken_at_ms = self.context.clock.now_ms()
         ran_ms = broken_at_ms - attempt.started_at_ms
 
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -76,5 +76,7 @@
     metrics: ForwardingMetrics
     # Called with an upstream that was found dead after its connection broke.
     on_upstream_dead: Callable[[ListedUpstream], None]
+    # Returns whether an upstream is listed and doesn't leave.
+    is_staying: Callable[[ListedUpstream], bool]
     # Called with the upstream and the head of each response.
     on_response: Callable[[ListedUpstream, ResponseHead], None]
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -117,6 +117,7 @@
             self._logs,
             self.metrics,
             self._on_upstream_dead,
+            view.upstreams.is_staying,
             self._on_response,
         )
 
--- a/packages/kernel/bronzeline_kernel/forwarding/fault_evidence.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/fault_evidence.py
@@ -14,9 +14,11 @@
 ) -> None:
     """Update the health of an upstream, and of its zone, after a failed attempt.
 
-    A broken connection alone says little about the zone: the upstream is probed.
+    A broken connection alone says little about the zone: the upstream is probed. One
+    that left says nothing about it.
     """
-    if fault in {Fault.UNREACHABLE, Fault.SILENT}:
+    is_staying = placement.upstreams.is_staying(upstream)
+    if is_staying and fault in {Fault.UNREACHABLE, Fault.SILENT}:
         placement.health.record_zone_loss(upstream.zone, now_ms)
     if fault is Fault.FULL:
         placement.health.record_full(upstream.incarnation, now_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -438,7 +438,9 @@
         if attempt.is_from_copy and fault is Fault.FULL:
             return
         record_fault(self.placement, attempt.upstream, fault, now_ms)
-        if fault is Fault.BROKEN:
+        if fault is Fault.BROKEN and self.placement.upstreams.is_staying(
+            attempt.upstream
+        ):
             # The next attempt starts before the probe is answered.
             self.placement.health.suspect_zone(attempt.upstream.zone, now_ms)
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
@@ -274,6 +274,29 @@
         ((_, action),) = driver.wait(50.0)
         self.assertNotEqual(action.keeper.address, send.copy_to.address)
 
+    @params(
+        ("response", Fault.BROKEN, False),
+        ("list", Fault.BROKEN, False),
+        ("response", Fault.SILENT, False),
+        ("response", Fault.UNREACHABLE, False),
+        ("", Fault.BROKEN, True),
+        ("", Fault.SILENT, True),
+    )
+    def test_the_end_of_a_leaving_upstream_is_no_loss_of_its_zone(
+        self, source, fault, is_suspect
+    ):
+        driver = Driver()
+        send = driver.start()
+        driver.events(send.number, 3)
+        if source:
+            self.leave(driver, send.upstream, source)
+        driver.fail_attempt(send.number, fault)
+        health, zone = driver.placement.health, send.upstream.zone
+        entries = [x for x in fleet(2) if x.zone == zone]
+        other = next(x for x in entries if x.address != send.upstream.address)
+        found = health.is_zone_suspect(zone, other.incarnation, driver.now_ms)
+        self.assertEqual(found, is_suspect)
+
     def test_no_copy_is_asked_of_a_resting_upstream(self):
         driver = Driver()
         send = driver.start()
