Let rests of other upstreams not delay who finds an upstream full

A request that the one upstream without a rest turned away as full was told the end of the others' rests, 30,480 ms in the test, for 150 or 500.

--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -212,7 +212,7 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
         interval_ms = self.options.return_interval_ms
         closure = self.placement.permission.find_closure(
-            self.service, self.deadline_ms, interval_ms, now_ms
+            self.service, self._tried, self.deadline_ms, interval_ms, now_ms
         )
         if closure is None:
             return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 from bronzeline_kernel.forwarding.return_queue import Closure, ReturnQueue
 from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.upstream_limits import UpstreamLimits
-from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
+from bronzeline_kernel.forwarding.upstream_set import (
+    Incarnation,
+    ListedUpstream,
+    UpstreamSet,
+)
 
 __all__ = ["SendPermission"]
 
-# A request that was turned away is told when a rest ends if at least this share of the
-# upstreams rests: what is not known yet mostly rests too.
+# A request that only resting upstreams turned away is told when a rest ends if at least
+# this share of the upstreams rests: what is not known yet mostly rests too.
 MIN_RESTING_SHARE = 0.5
 
 
@@ -47,17 +51,22 @@
         return not self.upstreams.notices.is_resting(upstream.incarnation, now_ms)
 
     def find_closure(
-        self, service: str, deadline_ms: float, interval_ms: float, now_ms: float
+        self,
+        service: str,
+        tried: Collection[Incarnation],
+        deadline_ms: float,
+        interval_ms: float,
+        now_ms: float,
     ) -> Closure | None:
         """Return why a service takes no request, None if enough of its upstreams do.
 
+        `tried` are the upstreams that turned the request away.
         `interval_ms` is how long one request usually keeps an upstream from the next.
         """
         usable = self.upstreams.usable(service, now_ms)
         left_ms = deadline_ms - now_ms
-        n_resting = sum(self._is_closed(item, now_ms) for item in usable)
         has_open = any(self._is_open(item, now_ms) for item in usable)
-        if has_open and n_resting < MIN_RESTING_SHARE * len(usable):
+        if has_open and not self._is_mostly_resting(usable, tried, now_ms):
             self.returns.open(service)
             return None
         if not usable:
@@ -65,6 +74,16 @@
         closures = self._closures(service, usable, interval_ms, left_ms, now_ms)
         return min(closures, key=lambda item: item.return_ms, default=None)
 
+    def _is_mostly_resting(
+        self,
+        usable: Sequence[ListedUpstream],
+        tried: Collection[Incarnation],
+        now_ms: float,
+    ) -> bool:
+        resting = {x.incarnation for x in usable if self._is_closed(x, now_ms)}
+        has_share = len(resting) >= MIN_RESTING_SHARE * len(usable)
+        return has_share and resting.issuperset(tried)
+
     def _is_open(self, upstream: ListedUpstream, now_ms: float) -> bool:
         return self.may_send(upstream, now_ms) and not self._is_closed(upstream, now_ms)
 
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -461,7 +461,7 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
         interval_ms = self.placement.pace(self.service).usual_prompt_ms
         closure = self.placement.permission.find_closure(
-            self.service, self.deadline_ms, interval_ms, now_ms
+            self.service, self._tried, self.deadline_ms, interval_ms, now_ms
         )
         if closure is None:
             return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
@@ -166,6 +166,14 @@
         (fail,) = run.lost(send.number, Fault.FULL, 20.0)
         self.assertEqual(fail.retry_after_ms, run.options.retry_after_ms)
 
+    @params(WorkKind.STREAM, WorkKind.NON_IDEMPOTENT)
+    def test_rests_of_the_others_do_not_delay_who_finds_an_upstream_full(self, kind):
+        self.say(resting(30_000.0), "zone-a-0", "zone-b-0")
+        run, (send,) = self.start(0.0, kind=kind)
+        run.route = route(kind, max_attempts=1)
+        (fail,) = run.lost(send.number, Fault.FULL, 20.0)
+        self.assertEqual(fail.retry_after_ms, run.options.retry_after_ms)
+
     def test_a_call_without_attempts_left_is_told_when_an_upstream_is_back(self):
         run, (send,) = self.start(0.0, 1_200.0, WorkKind.NON_IDEMPOTENT)
         run.route = route(WorkKind.NON_IDEMPOTENT, max_attempts=1)
