Count attempts that an upstream answered badly against a stream's limit

Since a resumable stream whose upstreams all answer 408, 429 or 503 after a run was sent to them 16 times in 40 ms and used up the retries of the streams after it; a route that allows one attempt had four. Found by a reviewer. Cause: attempts lost while they ran are not counted, as their upstream is gone; a response that can't be used is no such loss. A response in another encoding had the same fault before.

Only broken and silent attempts are left out of the count now.

--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -62,6 +62,8 @@
     n_rejected: int = 0
     n_unreachable: int = 0
     n_lost: int = 0
+    # Lost with their upstream or its connection; these don't use up attempts.
+    n_cut_off: int = 0
     n_deaths: int = 0
     _search_deadline_ms: float | None = None
     _tried: set[Incarnation] = field(default_factory=set)
@@ -155,7 +157,7 @@
         self._record_fault(attempt, fault, now_ms)
         if fault.is_not_run:
             return self._after_rejection(attempt, fault, now_ms)
-        self.n_lost += 1
+        self._count_lost(fault)
         return self._resume(attempt, fault, now_ms)
 
     def upstream_died(self) -> None:
@@ -270,7 +272,7 @@
             return []
         self._release()
         self._record_fault(attempt, Fault.SILENT, now_ms)
-        self.n_lost += 1
+        self._count_lost(Fault.SILENT)
         return [Abandon(attempt.number), *self._resume(attempt, Fault.SILENT, now_ms)]
 
     def _may_retry_same_upstream(
@@ -318,10 +320,15 @@
         return "" if self.budget.has_any else "retry budget spent"
 
     def _has_attempts_left(self) -> bool:
-        """Return whether attempts are left, not counting unreachable or lost ones."""
-        n_counted = self.n_sent - self.n_unreachable - self.n_lost
+        """Return whether attempts are left, not counting those that were cut off."""
+        n_counted = self.n_sent - self.n_unreachable - self.n_cut_off
         return n_counted < self.route.max_attempts
 
+    def _count_lost(self, fault: Fault) -> None:
+        self.n_lost += 1
+        if fault.is_cut_off:
+            self.n_cut_off += 1
+
     def _after_rejection(
         self, attempt: Attempt, fault: Fault, now_ms: float
     ) -> list[Action]:
