Treat an address that can't be connected to as unreachable

A probe of it ended with the error and never called back.

Cause: `connect` caught OSError only; a port outside 0 to 65535 raises OverflowError, and a host that can't be encoded TypeError.

Change: both, and ValueError, are raised as UpstreamUnreachableError, and the socket is closed.

Test: seven impossible addresses in `acquire` and `accepts_connection`. The old code failed on the first, port -1, in both; all pass now.

--- a/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
@@ -33,6 +33,8 @@
 KEEP_ALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 MAX_IDLE_PER_ADDRESS = 16
+# Raised for a port out of range, and for a host that can't be encoded.
+INVALID_ADDRESS = (OverflowError, TypeError, ValueError)
 
 
 class Connection(IOStream):
@@ -139,7 +141,7 @@
         # of the loop as the completed connection.
         async with asyncio.timeout(timeout_ms / 1000.0):
             await connection.connect(address)
-    except (StreamClosedError, OSError, TimeoutError) as error:
+    except (StreamClosedError, OSError, TimeoutError, *INVALID_ADDRESS) as error:
         connection.close()
         raise UpstreamUnreachableError(f"{address}: {error}") from None
     except asyncio.CancelledError:
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/connection_pool_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/connection_pool_tests.py
@@ -80,6 +80,15 @@
             self.assertFalse(await accepts_connection(address, 100.0))
         self.assertTrue(await accepts_connection(self.address, 100.0))
 
+    async def test_an_impossible_address_is_unreachable(self):
+        """It raised another error, which ended what had chosen the address."""
+        addresses = [("127.0.0.1", port) for port in (-1, 65_536, 10**30)]
+        addresses += [(host, 80) for host in ("\u00e4" * 80, "a\0b", "::1", "")]
+        for address in addresses:
+            with self.subTest(address), self.assertRaises(UpstreamUnreachableError):
+                await self.connection_pool.acquire(address)
+            self.assertFalse(await accepts_connection(address, 100.0))
+
     async def test_cancellation_while_connecting_completes_is_not_lost(self):
         connected = asyncio.get_running_loop().create_future()
         with mock.patch.object(Connection, "connect", return_value=connected):
