--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -263,8 +263,15 @@
 
     def apply_changes(self, changes: tuple[UpstreamChange, ...], revision: int) -> None:
         """Apply and log changes of upstreams from the store or from a peer."""
+        # An entry that can't be read may be written again and again.
+        known = [
+            change
+            for change in changes
+            if change.entry is not None
+            or self._view.upstreams.get(change.upstream_id) is not None
+        ]
         self._view.apply_changes(changes, revision, self._clock.now_ms())
-        for change in changes:
+        for change in known:
             entry = change.entry
             log_event(
                 "upstream_changed",
