Go on reading the store after an error that nothing foresaw

A router no longer followed the configuration or the list of upstreams, for good.

Cause: an exception other than the two that are expected of the store ended the loop that reads them; nothing awaits its task.

Change: the loop logs `watch_failed` with a traceback, once for the same error in a row, pauses for a second and reads everything anew. The count of calls has the outcome `failed`.

Test: applying a configuration, or changes of upstreams, fails twice; both cases failed on the code before (not followed within 5 s) and pass now.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -14,7 +14,7 @@
     WatchState,
     WatchStates,
 )
-from bronzeline_daemon.logs import log_event
+from bronzeline_daemon.logs import ExceptionInfo, log_event, log_exception
 from bronzeline_kernel.exceptions import (
     HistoryLostError,
     StoreUnavailableError,
@@ -44,7 +44,11 @@
 # A router that gets its data from a peer checks this often whether it must read
 # the store.
 IDLE_POLL_S = 0.1
+# After an error that nothing foresaw, which may come again with each reading.
+FAILURE_PAUSE_S = 1.0
 OnConfig = Callable[[], None]
+# Called with the revision to continue from, None for a full read.
+Read = Callable[[int | None], Coroutine[None, None, WatchPosition]]
 # Called with the kind of object and the outcome of a call.
 OnCall = Callable[[str, str], None]
 
@@ -96,47 +100,58 @@
         """Fetch the upstreams of a peer whose changes do not fit a datagram."""
         self._states[UPSTREAMS].peer_ahead = peer
 
-    async def _run(
-        self,
-        kind: str,
-        read: Callable[[int | None], Coroutine[None, None, WatchPosition]],
-    ) -> None:
+    async def _run(self, kind: str, read: Read) -> None:
+        """Read until cancelled; an error of one reading does not end the loop."""
         revision: int | None = None
         state = self._states[kind]
         while True:
-            peer, state.peer_ahead = state.peer_ahead, None
-            if peer is not None and await self._fetch_from(peer, kind):
-                continue
-            if (
-                revision is not None
-                and peer is None
-                and not self._watch_states.must_read(kind, self._clock.now_ms())
-            ):
-                await asyncio.sleep(IDLE_POLL_S)
-                continue
-            if peer is not None:
-                revision = None
             try:
-                position = await self._call_store(kind, read(revision))
-                if position is None:
-                    continue
-            except HistoryLostError:
-                self._on_call(kind, "history_lost")
-                log_event("history_lost", what=kind, revision=revision)
-                state.has_lost_history = True
+                revision = await self._read_next(kind, read, revision)
+                state.failure = ""
+            except Exception as error:
+                self._on_call(kind, "failed")
+                if state.failure != repr(error):
+                    log_exception("watch_failed", _exception_info(error), what=kind)
+                state.failure = repr(error)
                 revision = None
-            except StoreUnavailableError as error:
-                self._on_call(kind, "unavailable")
-                self._mark_unavailable(kind, str(error))
-                await asyncio.sleep(
-                    self._watch_states.retry_pause_ms(kind, self._clock.now_ms())
-                    / 1000.0
-                )
-            else:
-                self._on_call(kind, "answered")
-                self._mark_available(kind)
-                revision = position.revision
-                await self._pause(kind, position.next_at_ms)
+                await asyncio.sleep(FAILURE_PAUSE_S)
+
+    async def _read_next(
+        self, kind: str, read: Read, revision: int | None
+    ) -> int | None:
+        """Read once from a peer or the store; return the revision to continue from."""
+        state = self._states[kind]
+        peer, state.peer_ahead = state.peer_ahead, None
+        if peer is not None and await self._fetch_from(peer, kind):
+            return revision
+        if (
+            revision is not None
+            and peer is None
+            and not self._watch_states.must_read(kind, self._clock.now_ms())
+        ):
+            await asyncio.sleep(IDLE_POLL_S)
+            return revision
+        if peer is not None:
+            revision = None
+        try:
+            position = await self._call_store(kind, read(revision))
+        except HistoryLostError:
+            self._on_call(kind, "history_lost")
+            log_event("history_lost", what=kind, revision=revision)
+            state.has_lost_history = True
+            return None
+        except StoreUnavailableError as error:
+            self._on_call(kind, "unavailable")
+            self._mark_unavailable(kind, str(error))
+            pause_ms = self._watch_states.retry_pause_ms(kind, self._clock.now_ms())
+            await asyncio.sleep(pause_ms / 1000.0)
+            return revision
+        if position is None:
+            return revision
+        self._on_call(kind, "answered")
+        self._mark_available(kind)
+        await self._pause(kind, position.next_at_ms)
+        return position.revision
 
     async def _fetch_from(self, peer: RouterEntry, kind: str) -> bool:
         """Fetch and apply a peer's data; return whether the peer answered."""
@@ -308,6 +323,10 @@
                 state.call.cancel()
 
 
+def _exception_info(error: Exception) -> ExceptionInfo:
+    return type(error), error, error.__traceback__
+
+
 def _source_name(peer: RouterEntry | None) -> str:
     return "store" if peer is None else peer.router_id
 
--- a/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
@@ -41,6 +41,8 @@
     is_unavailable: bool = False
     has_lost_history: bool = False
     n_failures: int = 0
+    # The unexpected error of the last reading, if any.
+    failure: str = ""
     call: asyncio.Task[WatchPosition] | None = None
     timeout: StoreTimeout = field(default_factory=StoreTimeout)
 
--- a/packages/daemon/bronzeline_daemon/logs.py
+++ b/packages/daemon/bronzeline_daemon/logs.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "LINE_FORMATS",
+    "ExceptionInfo",
     "KeyValueFormatter",
     "configure_logs",
     "log_debug",
