Keep polling the list of VMs after an answer that can't be read

The task that polls the list ended for good on an answer that is no JSON, has another shape or is nested deeply: only StoreError is expected of the reader, and it let the decoder's errors through. It raises StoreUnavailableError now, and the last list holds.

--- a/packages/daemon/bronzeline_daemon/plugins/http_vm_list.py
+++ b/packages/daemon/bronzeline_daemon/plugins/http_vm_list.py
@@ -31,7 +31,10 @@
             raise StoreUnavailableError(str(error)) from None
         if response.code != 200:
             raise StoreUnavailableError(f"the list of VMs answered {response.code}")
-        return msgspec.json.decode(response.body, type=VmListing)
+        try:
+            return msgspec.json.decode(response.body, type=VmListing)
+        except (ValueError, RecursionError) as error:
+            raise StoreUnavailableError(f"the list of VMs: {error}") from None
 
 
 def register(registry: PluginRegistry) -> None:
