--- a/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/connection_pool.py
@@ -35,6 +35,8 @@
 MAX_IDLE_PER_ADDRESS = 16
 # A response is late by the time of a few requests at most.
 MAX_REQUEST_IDS = 32
+# Raised for a port out of range, and for a host that can't be encoded.
+INVALID_ADDRESS = (OverflowError, TypeError, ValueError)
 
 
 class Connection(IOStream):
@@ -165,7 +167,7 @@
         # of the loop as the completed connection.
         async with asyncio.timeout(timeout_ms / 1000.0):
             await connection.connect(address)
-    except (StreamClosedError, OSError, TimeoutError) as error:
+    except (StreamClosedError, OSError, TimeoutError, *INVALID_ADDRESS) as error:
         connection.close()
         raise UpstreamUnreachableError(f"{address}: {error}") from None
     except asyncio.CancelledError:
