Accept a success only with its upstream's receipt

Callers got a success without a receipt, and a resumed stream ended as if it were complete on a 2xx that had neither events nor a receipt. Cause: a success was taken from its status and request id alone; the receipt was passed on but never asked for.

ResponseHead says whether the upstream certifies its response; a success without that is garbled, for streams and calls: the stream goes on elsewhere or is cut visibly, an idempotent call is tried again, an order has an unknown outcome.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -148,6 +148,6 @@
             return Fault.REPLACED
         if head.is_rejected:
             return Fault.FULL
-        if head.is_encoded:
+        if head.is_encoded or (head.is_success and not head.has_receipt):
             return Fault.GARBLED
         return None
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -133,6 +133,8 @@
     limit_per_s: float | None = None
     # The id that the response bears, empty without one.
     request_id: str = ""
+    # Whether the upstream certifies that the response is its own.
+    has_receipt: bool = True
 
     @property
     def is_success(self) -> bool:
