End an attempt whose body holds more than events

Callers found a response's head, or an error's text, in the middle of their stream: all bytes up to an empty line were passed on as an event once they held an id, and a stream that sent plain text between was closed as complete. Two events in one, of which the first was cut off, were passed on too.

Each line of an event must be a field or a comment, and one at most an id; all else is garbled, and the stream goes on elsewhere or is cut visibly. Fields of any name, such as the line with the weights' version, are passed on as they are.

--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -7,6 +7,7 @@
 from itertools import islice
 
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
+from bronzeline_daemon.forwarding.event_format import is_event
 from bronzeline_daemon.forwarding.event_splitter import EventSplitter
 from bronzeline_daemon.forwarding.relay import Relay
 from bronzeline_daemon.forwarding.relay_context import RelayContext
@@ -97,10 +98,7 @@
         n_events = 0
         for event in islice(events, MAX_EVENTS_AT_ONCE):
             n_events += 1
-            event_id = self.context.wire.event_id(event)
-            if event_id is not None and not self._pass_on_event(
-                number, event_id, event
-            ):
+            if not self._pass_on_event(number, event):
                 self.fail_attempt(number, Fault.GARBLED)
                 return True
         if n_events == MAX_EVENTS_AT_ONCE:
@@ -109,11 +107,16 @@
             self.fail_attempt(number, Fault.TOO_LARGE)
         return True
 
-    def _pass_on_event(self, number: int, event_id: int, event: bytes) -> bool:
+    def _pass_on_event(self, number: int, event: bytes) -> bool:
         """Write the next event to the caller; return False if the stream is garbled.
 
         An upstream that resumes a stream may repeat events that the caller has.
         """
+        if not is_event(event):
+            return False
+        event_id = self.context.wire.event_id(event)
+        if event_id is None:
+            return True
         if self._run.is_gap(number, event_id):
             return False
         if self._run.accept_event(number, event_id, self.now_ms()):
