End a resumed stream only with its last event

A stream that had begun and was cut ended as complete when the next upstream answered a 2xx without events, or repeated a few of the caller's events and ended before the last one. Cause: any complete 2xx without a partial event ended the stream, whichever run it came from.

A resume ends the stream if the last event that it holds is the caller's last one. One without events does so only once two upstreams agree, with a marked end of their responses (a length, chunks, 204): a stream cut after its last event is still completed. Otherwise the attempt is lost (fault=early_end, no evidence against its upstream) and the stream goes on elsewhere or is cut visibly. The same holds for a caller's own resume. A response without events that is the first one is the upstream's own answer and passed on.

--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -17,6 +17,7 @@
     Fault,
     ResponseHead,
     RunRecord,
+    StreamEnd,
     StreamRun,
     WorkspaceKeys,
 )
@@ -50,6 +51,10 @@
         self._splitters: dict[int, EventSplitter] = {}
         self._failed: set[int] = set()
         self._n_repeated_events = 0
+        self._end = StreamEnd()
+        # The attempt whose head the caller got, and each attempt's last event.
+        self._head_number = 0
+        self._seen_events: dict[int, int] = {}
         self._shared_copy: CopySource | None = None
         self._shared_at_ms = 0.0
 
@@ -60,6 +65,8 @@
             self.start_buffer(number)
             return
         self._splitters[number] = EventSplitter()
+        if not self.response.has_started:
+            self._head_number = number
         self.response.start(head.status, head.headers)
 
     def on_data(self, number: int, chunk: bytes) -> Awaitable[None] | None:
@@ -119,6 +126,7 @@
             return True
         if self._run.is_gap(number, event_id):
             return False
+        self._seen_events[number] = max(event_id, self._seen_events.get(number, 0))
         if self._run.accept_event(number, event_id, self.now_ms()):
             self.record_event()
             self.response.write(event)
@@ -132,6 +140,8 @@
             self._end_failure(number)
         elif self._splitters[number].has_partial_event:
             self.fail_attempt(number, Fault.BROKEN)
+        elif not self._is_end(number):
+            self.fail_attempt(number, Fault.EARLY_END)
         else:
             self.perform(self._run.ended(number))
 
@@ -195,6 +205,22 @@
         """Exclude the time in which this process did not run from silence."""
         self._run.process_paused(self.now_ms())
 
+    def _is_own(self, number: int) -> bool:
+        """Return whether the caller's whole response comes from this attempt."""
+        return number == self._head_number and not self.request.after_event
+
+    def _is_end(self, number: int) -> bool:
+        """Return whether a complete response ends the stream."""
+        head = self.head_of(number)
+        if head is None or self._is_own(number):
+            return True
+        return self._end.is_proven(
+            self._upstream_id,
+            self._run.last_event,
+            self._seen_events.get(number, 0),
+            head.is_framed,
+        )
+
     def _end_failure(self, number: int) -> None:
         """Pass on the failure if nothing was sent yet; otherwise fail the attempt."""
         if self.response.has_started:
--- a/packages/kernel/bronzeline_kernel/forwarding/fault_evidence.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/fault_evidence.py
@@ -22,5 +22,6 @@
         placement.health.record_full(upstream.incarnation, now_ms)
     elif fault is Fault.REPLACED:
         placement.health.record_replaced(upstream.incarnation, now_ms)
-    else:
+    elif fault is not Fault.EARLY_END:
+        # An upstream that sends no event may be right that none is left.
         placement.health.record_failure(upstream.incarnation, now_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -69,6 +69,7 @@
     FAILED = "failed"
     SILENT = "silent"
     TOO_LARGE = "too_large"
+    EARLY_END = "early_end"
 
     @property
     def is_not_run(self) -> bool:
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -135,6 +135,8 @@
     request_id: str = ""
     # Whether the upstream certifies that the response is its own.
     has_receipt: bool = True
+    # Whether the response's end is marked, rather than the connection's end.
+    is_framed: bool = True
 
     @property
     def is_success(self) -> bool:
