Count failed attempts of a resumed stream against its route's limit

A stream that had begun was sent on again and again while upstreams answered at once with a failure or a response that can't be used: 16 runs within 0.1 s on a route with max-attempts 5 (a trial with three stand-in engines), until the shared retry budget was spent. Cause: every lost attempt was left out of the count, though only those of upstreams that end or are cut off should be.

Attempts that fail as failed, garbled, early_end or too_large count; broken and silent ones still don't.

--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -76,6 +76,11 @@
         """Return whether the upstream certainly did not execute the request."""
         return self in {Fault.UNREACHABLE, Fault.FULL, Fault.REPLACED}
 
+    @property
+    def is_loss(self) -> bool:
+        """Return whether the upstream may have ended or been cut off."""
+        return self in {Fault.BROKEN, Fault.SILENT}
+
 
 class Failure(Enum):
     """Classify the error that the caller gets for a request that failed."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -62,6 +62,7 @@
     n_rejected: int = 0
     n_unreachable: int = 0
     n_lost: int = 0
+    n_failed: int = 0
     n_deaths: int = 0
     _search_deadline_ms: float | None = None
     _tried: set[Incarnation] = field(default_factory=set)
@@ -124,8 +125,7 @@
 
     def is_gap(self, number: int, event_id: int) -> bool:
         """Return whether an event before this one is missing."""
-        is_current = self.attempt is not None and self.attempt.number == number
-        return is_current and event_id > self.last_event + 1
+        return self._is_current(number) and event_id > self.last_event + 1
 
     def n_events(self, number: int) -> int:
         """Return how many events of the response an attempt has added."""
@@ -156,6 +156,7 @@
         if fault.is_not_run:
             return self._after_rejection(attempt, fault, now_ms)
         self.n_lost += 1
+        self.n_failed += not fault.is_loss
         return self._resume(attempt, fault, now_ms)
 
     def upstream_died(self) -> None:
@@ -238,9 +239,8 @@
             self.on_answered()
 
     def _is_current(self, number: int) -> bool:
-        if self.is_over or self.attempt is None:
-            return False
-        return self.attempt.number == number
+        attempt = self.attempt
+        return not self.is_over and attempt is not None and attempt.number == number
 
     def _copies(self) -> StreamCopies:
         return StreamCopies(self.request.request_id, self.placement, self.options)
@@ -319,8 +319,8 @@
 
     def _has_attempts_left(self) -> bool:
         """Return whether attempts are left, not counting unreachable or lost ones."""
-        n_counted = self.n_sent - self.n_unreachable - self.n_lost
-        return n_counted < self.route.max_attempts
+        n_lost = self.n_lost - self.n_failed
+        return self.n_sent - self.n_unreachable - n_lost < self.route.max_attempts
 
     def _after_rejection(
         self, attempt: Attempt, fault: Fault, now_ms: float
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -144,6 +144,24 @@
         self.assertEqual(len(sent), n_sent)
         self.assertEqual(driver.actions[-1].failure, Failure.NOT_RUN)
 
+    @params(
+        (Fault.FAILED, 3),
+        (Fault.GARBLED, 3),
+        (Fault.EARLY_END, 3),
+        (Fault.TOO_LARGE, 3),
+        (Fault.BROKEN, 8),
+        (Fault.SILENT, 8),
+    )
+    def test_route_limits_attempts_that_upstreams_fail_without_being_lost(
+        self, fault, n_sent
+    ):
+        driver = Driver(route=route(max_attempts=3), budget=20.0)
+        driver.start()
+        for number in range(1, 8):
+            driver.fail_attempt(number, fault)
+        sent = [item for item in driver.actions if isinstance(item, Send)]
+        self.assertEqual(len(sent), n_sent)
+
     def test_silence_does_not_end_a_stream_that_is_not_resumable(self):
         driver = Driver(route=route(is_resumable=False))
         driver.start()
