Pass on the events without id of a stream's first run

An answer's events without id, such as an error that an engine reports as an event, were left out, so that the caller got less than the upstream's whole body, as if complete.

Those of the run that the response began with are passed on as they are. In a resumed run nothing tells whether the caller has them: such an event is garbled, and comments are left out.

--- a/packages/daemon/bronzeline_daemon/forwarding/event_format.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/event_format.py
@@ -4,7 +4,7 @@
 
 import re
 
-__all__ = ["is_event"]
+__all__ = ["is_comment", "is_event"]
 
 FIELD = re.compile(rb"[A-Za-z0-9_-]*:")
 ID_FIELD = b"id:"
@@ -21,5 +21,10 @@
     return n_ids <= 1 and all(FIELD.match(line) for line in lines)
 
 
+def is_comment(event: bytes) -> bool:
+    """Return whether an event has only comments, which are no part of an answer."""
+    return all(line.startswith(b":") for line in _lines(event))
+
+
 def _lines(event: bytes) -> list[bytes]:
     return [line for line in event.split(b"\n") if line]
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -7,7 +7,7 @@
 from itertools import islice
 
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
-from bronzeline_daemon.forwarding.event_format import is_event
+from bronzeline_daemon.forwarding.event_format import is_comment, is_event
 from bronzeline_daemon.forwarding.event_splitter import EventSplitter
 from bronzeline_daemon.forwarding.relay import Relay
 from bronzeline_daemon.forwarding.relay_context import RelayContext
@@ -123,7 +123,7 @@
             return False
         event_id = self.context.wire.event_id(event)
         if event_id is None:
-            return True
+            return self._pass_on_unnumbered(number, event)
         if self._run.is_gap(number, event_id):
             return False
         self._seen_events[number] = max(event_id, self._seen_events.get(number, 0))
@@ -134,6 +134,16 @@
         self._n_repeated_events += 1
         return self._n_repeated_events <= MAX_REPEATED_EVENTS
 
+    def _pass_on_unnumbered(self, number: int, event: bytes) -> bool:
+        """Write an event without id; return False if it is one of a resumed run.
+
+        Nothing tells whether the caller has such an event already.
+        """
+        if self._is_own(number):
+            self.response.write(event)
+            return True
+        return is_comment(event)
+
     def on_complete(self, number: int) -> None:
         """Handle the end of an attempt's response."""
         if number in self._failed:
