Reset the connection of an HTTP/1.0 caller whose stream is cut

A response to HTTP/1.0 ends with its connection, so that a stream that was cut looked complete: the connection was closed in the same way. It is reset now. One test failed before, and passes; whole streams end as before (a second test, which passed before).

--- a/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable, Iterable
 from http.client import responses
 
@@ -17,6 +19,8 @@
 
 # Headers that are not forwarded: the response to the caller is framed anew.
 DRAIN_POLL_S = 0.02
+# Linger on, for 0 s: a close then resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"proxy-authenticate"}
 
 
@@ -31,6 +35,8 @@
         self.is_over = False
         self.is_disconnected = False
         self.is_incomplete = False
+        # Whether the end of a response of unknown length is marked.
+        self.is_chunked = True
         self._n_unsent_bytes = 0
 
     @property
@@ -88,8 +94,18 @@
         if not self.is_over:
             self.is_over = True
             self.is_incomplete = True
+            if self.has_started and not self.is_chunked:
+                self._reset_on_close()
             self._connection.close()
 
+    def _reset_on_close(self) -> None:
+        """Make the close visible to a caller whose responses end with one."""
+        stream_socket = self._connection.stream.socket
+        if stream_socket is not None:
+            stream_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+
     def _write_head(self, status: int, fields: HTTPHeaders, body: bytes) -> None:
         self.has_started = True
         self.status = status
--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -115,6 +115,7 @@
         assert isinstance(start_line, RequestStartLine)
         self._head_timer.stop()
         self._start_line = start_line
+        self._response.is_chunked = start_line.version != "HTTP/1.0"
         self._headers = list(headers.get_all())
         n_head_bytes = sum(
             len(name) + len(value) + HEADER_OVERHEAD_BYTES
