--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -152,6 +152,6 @@
             return Fault.FULL
         if head.is_unproven_refusal:
             return Fault.UNPROVEN_REFUSAL
-        if head.is_encoded:
+        if head.is_encoded or (head.is_success and not head.has_receipt):
             return Fault.GARBLED
         return None
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -7,6 +7,7 @@
 from itertools import islice
 
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
+from bronzeline_daemon.forwarding.event_format import is_comment, is_event
 from bronzeline_daemon.forwarding.event_splitter import EventSplitter
 from bronzeline_daemon.forwarding.relay import Relay
 from bronzeline_daemon.forwarding.relay_context import RelayContext
@@ -16,6 +17,7 @@
     Fault,
     ResponseHead,
     RunRecord,
+    StreamEnd,
     StreamRun,
     WorkspaceKeys,
 )
@@ -49,6 +51,10 @@
         self._splitters: dict[int, EventSplitter] = {}
         self._failed: set[int] = set()
         self._n_repeated_events = 0
+        self._end = StreamEnd()
+        # The attempt whose head the caller got, and each attempt's last event.
+        self._head_number = 0
+        self._seen_events: dict[int, int] = {}
         self._shared_copy: CopySource | None = None
         self._shared_at_ms = 0.0
 
@@ -59,6 +65,8 @@
             self.start_buffer(number)
             return
         self._splitters[number] = EventSplitter()
+        if not self.response.has_started:
+            self._head_number = number
         self.response.start(head.status, head.headers)
 
     def on_data(self, number: int, chunk: bytes) -> Awaitable[None] | None:
@@ -97,10 +105,7 @@
         n_events = 0
         for event in islice(events, MAX_EVENTS_AT_ONCE):
             n_events += 1
-            event_id = self.context.wire.event_id(event)
-            if event_id is not None and not self._pass_on_event(
-                number, event_id, event
-            ):
+            if not self._pass_on_event(number, event):
                 self.fail_attempt(number, Fault.GARBLED)
                 return True
         if n_events == MAX_EVENTS_AT_ONCE:
@@ -109,13 +114,19 @@
             self.fail_attempt(number, Fault.TOO_LARGE)
         return True
 
-    def _pass_on_event(self, number: int, event_id: int, event: bytes) -> bool:
+    def _pass_on_event(self, number: int, event: bytes) -> bool:
         """Write the next event to the caller; return False if the stream is garbled.
 
         An upstream that resumes a stream may repeat events that the caller has.
         """
+        if not is_event(event):
+            return False
+        event_id = self.context.wire.event_id(event)
+        if event_id is None:
+            return self._pass_on_unnumbered(number, event)
         if self._run.is_gap(number, event_id):
             return False
+        self._seen_events[number] = max(event_id, self._seen_events.get(number, 0))
         if self._run.accept_event(number, event_id, self.now_ms()):
             self.record_event()
             self.response.write(event)
@@ -123,12 +134,24 @@
         self._n_repeated_events += 1
         return self._n_repeated_events <= MAX_REPEATED_EVENTS
 
+    def _pass_on_unnumbered(self, number: int, event: bytes) -> bool:
+        """Write an event without id; return False if it is one of a resumed run.
+
+        Nothing tells whether the caller has such an event already.
+        """
+        if self._is_own(number):
+            self.response.write(event)
+            return True
+        return is_comment(event)
+
     def on_complete(self, number: int) -> None:
         """Handle the end of an attempt's response."""
         if number in self._failed:
             self._end_failure(number)
         elif self._splitters[number].has_partial_event:
             self.fail_attempt(number, Fault.BROKEN)
+        elif not self._is_end(number):
+            self.fail_attempt(number, Fault.EARLY_END)
         else:
             self.perform(self._run.ended(number))
 
@@ -192,6 +215,22 @@
         """Exclude the time in which this process did not run from silence."""
         self._run.process_paused(self.now_ms())
 
+    def _is_own(self, number: int) -> bool:
+        """Return whether the caller's whole response comes from this attempt."""
+        return number == self._head_number and not self.request.after_event
+
+    def _is_end(self, number: int) -> bool:
+        """Return whether a complete response ends the stream."""
+        head = self.head_of(number)
+        if head is None or self._is_own(number):
+            return True
+        return self._end.is_proven(
+            self._upstream_id,
+            self._run.last_event,
+            self._seen_events.get(number, 0),
+            head.is_framed,
+        )
+
     def _end_failure(self, number: int) -> None:
         """Pass on the failure if nothing was sent yet; otherwise fail the attempt."""
         if self.response.has_started:
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -70,6 +70,7 @@
     SILENT = "silent"
     TOO_LARGE = "too_large"
     UNPROVEN_REFUSAL = "unproven_refusal"
+    EARLY_END = "early_end"
 
     @property
     def is_not_run(self) -> bool:
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -142,6 +142,10 @@
     limit_per_s: float | None = None
     # The id that the response bears, empty without one.
     request_id: str = ""
+    # Whether the upstream certifies that the response is its own.
+    has_receipt: bool = True
+    # Whether the response's end is marked, rather than the connection's end.
+    is_framed: bool = True
     notice: UpstreamNotice = NO_NOTICE
 
     @property
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -125,8 +125,7 @@
 
     def is_gap(self, number: int, event_id: int) -> bool:
         """Return whether an event before this one is missing."""
-        is_current = self.attempt is not None and self.attempt.number == number
-        return is_current and event_id > self.last_event + 1
+        return self._is_current(number) and event_id > self.last_event + 1
 
     def n_events(self, number: int) -> int:
         """Return how many events of the response an attempt has added."""
@@ -239,9 +238,8 @@
             self.on_answered()
 
     def _is_current(self, number: int) -> bool:
-        if self.is_over or self.attempt is None:
-            return False
-        return self.attempt.number == number
+        attempt = self.attempt
+        return not self.is_over and attempt is not None and attempt.number == number
 
     def _copies(self) -> StreamCopies:
         return StreamCopies(self.request.request_id, self.placement, self.options)
