--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -164,7 +164,7 @@
             return cost_share * prompt_ms
 
         permission = self.permission
-        has_room = permission.may_send_ahead if is_resumed else permission.may_send
+        has_room = permission.has_room_ahead if is_resumed else permission.has_room
         return self._cheapest(service, now_ms, exclude, cost, has_room, peers.age_ms)
 
     def prompt_list_candidates(
@@ -174,7 +174,7 @@
         return tuple(
             item
             for item in self._sample(service, now_ms)
-            if self.permission.takes_requests(item, now_ms)
+            if self.permission.may_call(item, now_ms)
             and not self.health.is_avoided(item.incarnation, now_ms)
             and not self.prompts.has_fresh_list(item.incarnation, now_ms)
         )
@@ -188,7 +188,7 @@
             now_ms,
             exclude,
             lambda item: self._call_cost(item, now_ms),
-            self.permission.may_send,
+            self.permission.has_room,
         )
 
     def choose_for_copy(
@@ -200,7 +200,7 @@
             item
             for item in usable
             if item.address != primary.address
-            and self.permission.takes_requests(item, now_ms)
+            and self.permission.may_call(item, now_ms)
             and not self.health.is_avoided(item.incarnation, now_ms)
         ]
         zones = [item.availability_zone for item in others]
--- a/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/send_permission.py
@@ -31,20 +31,26 @@
 
     def may_send(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether a request may be sent to an upstream now."""
-        if not self.takes_requests(upstream, now_ms):
-            return False
-        return self.limits.may_send(upstream.incarnation, now_ms)
+        return self.upstreams.is_staying(upstream) and self.has_room(upstream, now_ms)
 
     def may_send_ahead(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether a stream may resume on an upstream now."""
-        if not self.takes_requests(upstream, now_ms):
+        is_staying = self.upstreams.is_staying(upstream)
+        return is_staying and self.has_room_ahead(upstream, now_ms)
+
+    def has_room(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        """Return whether one of the usable upstreams, which all stay, may be used."""
+        incarnation = upstream.incarnation
+        if self.upstreams.notices.is_resting(incarnation, now_ms):
             return False
-        return self.limits.may_send_ahead(upstream.incarnation, now_ms)
+        return self.limits.may_send(incarnation, now_ms)
 
-    def takes_requests(self, upstream: ListedUpstream, now_ms: float) -> bool:
-        """Return whether an upstream stays and wants requests now."""
-        is_staying = self.upstreams.is_staying(upstream)
-        return is_staying and self.may_call(upstream, now_ms)
+    def has_room_ahead(self, upstream: ListedUpstream, now_ms: float) -> bool:
+        """Return whether a stream may resume on one of the usable upstreams."""
+        incarnation = upstream.incarnation
+        if self.upstreams.notices.is_resting(incarnation, now_ms):
+            return False
+        return self.limits.may_send_ahead(incarnation, now_ms)
 
     def may_call(self, upstream: ListedUpstream, now_ms: float) -> bool:
         """Return whether a control request may be sent, also to a leaving upstream."""
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_notices.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_notices.py
@@ -150,7 +150,8 @@
 
     def is_resting(self, upstream: Incarnation, now_ms: float) -> bool:
         """Return whether an upstream wants no requests from this router now."""
-        return now_ms < self.rest_ends_at_ms(upstream)
+        state = self._resting.get(upstream)
+        return state is not None and now_ms < state.until_ms
 
     def rest_ends_at_ms(self, upstream: Incarnation) -> float:
         """Return when the last rest of an upstream ends, else -inf."""
