Drop a request whose head was refused by a late timer

Callers got 408, which promises that a call did not run, and an upstream ran it: a router's 408 for a slow head was written between the turn of the loop that read the last bytes of the head and the one that parsed it, and the request was then sent. It needs a process that does not run for a while: one paused for the time limit right after it read a head that came in one segment does it too. The 200 of the upstream followed the 408 on the same connection.

A head timer now keeps that it refused, and the request of that head is dropped. Both new tests failed before (the call ran after its 408) and pass now.

--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -114,6 +114,9 @@
         """Check the head against the limits; refuse requests that exceed them."""
         assert isinstance(start_line, RequestStartLine)
         self._head_timer.stop()
+        if self._head_timer.has_refused:
+            self._response.is_over = True
+            return
         self._start_line = start_line
         self._headers = list(headers.get_all())
         n_head_bytes = sum(
--- a/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
@@ -25,6 +25,8 @@
     """
 
     def __init__(self, stream: IOStream) -> None:
+        # A late timer may refuse a head that has been read but not parsed yet.
+        self.has_refused = False
         self._stream = stream
         self._limit_ms = 0.0
         self._is_armed = False
@@ -57,6 +59,7 @@
     def _refuse(self) -> None:
         """Send 408, since nothing was forwarded, and close the connection."""
         self.stop()
+        self.has_refused = True
         log_event("head_timed_out", limit_ms=round(self._limit_ms))
         try:
             self._stream.write(TIMEOUT_RESPONSE).add_done_callback(self._close)
