Say that the connection closes when a request is refused before its end

Callers that got 408 for a slow body, 413 or 431 sent their next request on the same connection and got no answer: the router closes it, since the rest of the request was not read, but its response did not say so.

These responses now bear Connection: close.

--- a/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/caller_response.py
@@ -65,6 +65,13 @@
         self._write_head(status, fields, body)
         self.finish()
 
+    def refuse_unread(self, status: int) -> None:
+        """Refuse a request before its end; tornado then closes the connection."""
+        if not self.is_over:
+            fields = HTTPHeaders({"Content-Length": "0", "Connection": "close"})
+            self._write_head(status, fields, b"")
+            self.finish()
+
     def start(self, status: int, headers: Iterable[Header]) -> None:
         """Send the head of a response of unknown length."""
         if not self.is_over and not self.has_started:
--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -124,19 +124,19 @@
             for name, value in self._headers
         )
         if n_head_bytes > self._limits.max_header_bytes:
-            self._response.send(431, [])
+            self._response.refuse_unread(431)
             return
         limit_s = self._limits.idle_timeout_ms / 1000.0
         self._timer = asyncio.get_running_loop().call_later(limit_s, self._time_out)
         length = headers.get("Content-Length", "0").partition(",")[0]
         if length.isdigit() and int(length) > self._limits.max_body_bytes:
-            self._response.send(413, [])
+            self._response.refuse_unread(413)
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body; refuse bodies above the limit."""
         self._n_bytes += len(chunk)
         if self._n_bytes > self._limits.max_body_bytes:
-            self._response.send(413, [])
+            self._response.refuse_unread(413)
         if not self._response.is_over:
             self._chunks.append(chunk)
 
@@ -164,7 +164,7 @@
 
     def _time_out(self) -> None:
         """Refuse a request whose body timed out; no upstream has seen it."""
-        self._response.send(408, [])
+        self._response.refuse_unread(408)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
