--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -115,7 +115,7 @@
         assert isinstance(start_line, RequestStartLine)
         self._head_timer.stop()
         if self._head_timer.has_refused:
-            self._response.is_over = True
+            self._response.suppress()
             return
         self._start_line = start_line
         self._headers = list(headers.get_all())
--- a/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
@@ -25,9 +25,9 @@
     """
 
     def __init__(self, stream: IOStream) -> None:
-        # A late timer may refuse a head that has been read but not parsed yet.
-        self.has_refused = False
         self._stream = stream
+        # Set once a request was refused; bytes that are read later are not forwarded.
+        self.has_refused = False
         self._limit_ms = 0.0
         self._is_armed = False
         self._timer: asyncio.TimerHandle | None = None
