--- a/packages/daemon/bronzeline_daemon/forwarding/event_log.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/event_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
 from bronzeline_daemon.log_limits import LogLimiter
 from bronzeline_kernel.forwarding import (
     BeliefChange,
@@ -9,6 +10,7 @@
     Block,
     EngineLost,
     LimitChange,
+    NoticeChange,
     PartsAnswered,
     Placement,
     Quarantine,
@@ -21,13 +23,15 @@
 class EventLog:
     """Write the events of placement and quarantine to the log."""
 
-    def __init__(self, logs: LogLimiter) -> None:
+    def __init__(self, logs: LogLimiter, metrics: ForwardingMetrics) -> None:
         self._logs = logs
+        self._metrics = metrics
 
     def subscribe(self, placement: Placement, quarantine: Quarantine) -> None:
         """Start to log what they report."""
         placement.health.on_belief = self._on_belief_changed
         placement.limits.on_change = self._on_limit_changed
+        placement.upstreams.notices.on_change = self._on_notice_changed
         quarantine.requests.on_quarantined = self._on_request_quarantined
         quarantine.requests.on_zone_loss = self._on_zone_loss
         quarantine.on_blamed = self._on_parts_quarantined
@@ -51,6 +55,21 @@
             source=_source(change.is_own),
         )
 
+    def _on_notice_changed(self, change: NoticeChange) -> None:
+        if not change.is_over:
+            source = _source(change.is_own)
+            self._metrics.notice_learned(change.notice.value, source)
+        self._logs.info(
+            "notice_dropped" if change.is_over else "notice_learned",
+            upstream_id=change.upstream_id,
+            started_at_ms=change.started_at_ms,
+            notice=change.notice.value,
+            value=change.value,
+            age_ms=round(change.age_ms),
+            for_ms=None if change.for_ms is None else round(change.for_ms),
+            source=_source(change.is_own),
+        )
+
     def _on_request_quarantined(self, quarantined: QuarantinedRequest) -> None:
         self._logs.warn(
             "request_quarantined",
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -70,7 +70,9 @@
     RunEnded,
     RunUnknown,
     UpstreamAdopted,
+    UpstreamLeaving,
     UpstreamReplaced,
+    UpstreamResting,
     ZoneLost,
 )
 from bronzeline_kernel.forwarding.peer_reports import Load, LoadByUpstream
@@ -129,6 +131,12 @@
     LimitReport,
     UpstreamLimits,
 )
+from bronzeline_kernel.forwarding.upstream_notices import (
+    Notice,
+    NoticeChange,
+    UpstreamNotice,
+    UpstreamNotices,
+)
 from bronzeline_kernel.forwarding.upstream_set import (
     Address,
     Incarnation,
@@ -187,6 +195,8 @@
     "Load",
     "LoadByUpstream",
     "LoadReport",
+    "Notice",
+    "NoticeChange",
     "PartBlame",
     "PartBlameOptions",
     "PartsAnswered",
@@ -237,9 +247,13 @@
     "UpstreamChanges",
     "UpstreamHealth",
     "UpstreamIdentity",
+    "UpstreamLeaving",
     "UpstreamLimits",
     "UpstreamListing",
+    "UpstreamNotice",
+    "UpstreamNotices",
     "UpstreamReplaced",
+    "UpstreamResting",
     "UpstreamSet",
     "WireFormat",
     "WorkKind",
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -21,7 +21,9 @@
     "RunRecord",
     "RunUnknown",
     "UpstreamAdopted",
+    "UpstreamLeaving",
     "UpstreamReplaced",
+    "UpstreamResting",
     "ZoneLost",
 ]
 
@@ -105,6 +107,26 @@
     started_at_ms: int
 
 
+@dataclass(frozen=True)
+class UpstreamLeaving:
+    """Report that an upstream said that it leaves, by which value and how long ago."""
+
+    upstream_id: str
+    started_at_ms: int
+    value: str
+    age_ms: float
+
+
+@dataclass(frozen=True)
+class UpstreamResting:
+    """Report that an upstream asked this router for a rest, and by which value."""
+
+    upstream_id: str
+    started_at_ms: int
+    value: str
+    rest_ms: float
+
+
 @dataclass(frozen=True)
 class UpstreamAdopted:
     """Announce an engine that started while the store was unreachable."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -24,7 +24,6 @@
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
 from bronzeline_kernel.forwarding.prompt_index import Prompt
-from bronzeline_kernel.forwarding.return_times import LIMITED, useful_return_ms
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
 from bronzeline_kernel.forwarding.stream_copies import StreamCopies
 from bronzeline_kernel.forwarding.stream_evidence import StreamEvidence
@@ -62,6 +61,8 @@
     n_rejected: int = 0
     n_unreachable: int = 0
     n_lost: int = 0
+    # Lost with their upstream or its connection; these don't use up attempts.
+    n_cut_off: int = 0
     n_deaths: int = 0
     _search_deadline_ms: float | None = None
     _tried: set[Incarnation] = field(default_factory=set)
@@ -155,7 +156,7 @@
         self._record_fault(attempt, fault, now_ms)
         if fault.is_not_run:
             return self._after_rejection(attempt, fault, now_ms)
-        self.n_lost += 1
+        self._count_lost(fault)
         return self._resume(attempt, fault, now_ms)
 
     def upstream_died(self) -> None:
@@ -270,7 +271,7 @@
             return []
         self._release()
         self._record_fault(attempt, Fault.SILENT, now_ms)
-        self.n_lost += 1
+        self._count_lost(Fault.SILENT)
         return [Abandon(attempt.number), *self._resume(attempt, Fault.SILENT, now_ms)]
 
     def _may_retry_same_upstream(
@@ -286,7 +287,7 @@
         incarnation = attempt.upstream.incarnation
         if incarnation in self._retried:
             return False
-        if not self.placement.limits.may_send(incarnation, now_ms):
+        if not self.placement.permission.may_send(attempt.upstream, now_ms):
             return False
         self._retried.add(incarnation)
         return True
@@ -301,7 +302,7 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
         copy = self._copies().to_try(attempt, now_ms)
-        if copy is not None and self._copies().may_resume_on(copy.keeper, now_ms):
+        if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
         if self._may_retry_same_upstream(attempt, fault, now_ms):
             return [self._send(attempt.upstream, now_ms)]
@@ -318,10 +319,15 @@
         return "" if self.budget.has_any else "retry budget spent"
 
     def _has_attempts_left(self) -> bool:
-        """Return whether attempts are left, not counting unreachable or lost ones."""
-        n_counted = self.n_sent - self.n_unreachable - self.n_lost
+        """Return whether attempts are left, not counting those that were cut off."""
+        n_counted = self.n_sent - self.n_unreachable - self.n_cut_off
         return n_counted < self.route.max_attempts
 
+    def _count_lost(self, fault: Fault) -> None:
+        self.n_lost += 1
+        if fault.is_cut_off:
+            self.n_cut_off += 1
+
     def _after_rejection(
         self, attempt: Attempt, fault: Fault, now_ms: float
     ) -> list[Action]:
@@ -332,13 +338,13 @@
         if fault is Fault.UNREACHABLE:
             self.n_unreachable += 1
         elif not self._has_attempts_left():
-            return self._fail_not_served("attempts used up")
+            return self._fail_not_served("attempts used up", now_ms)
         if not attempt.is_from_copy:
             self.n_rejected += 1
         if self.n_rejected > self.options.max_rejections:
-            return self._fail_not_served("every upstream turned it away")
+            return self._fail_not_served("every upstream turned it away", now_ms)
         if fault is not Fault.UNREACHABLE and not self.budget.spend():
-            return self._fail_not_served("retry budget spent")
+            return self._fail_not_served("retry budget spent", now_ms)
         return self._send_prompt(now_ms)
 
     def _resume_earlier_run(self, now_ms: float) -> list[Action]:
@@ -374,7 +380,7 @@
             self._tried.clear()
             choice = self._choose(prompt, now_ms)
         if choice is None:
-            return self._fail_without_upstream(now_ms)
+            return self._fail_not_served("no upstream", now_ms)
         read_ms = self._evidence().fastest_read_ms(choice.upstream, now_ms)
         if not self.n_sent and self._is_too_late(read_ms, now_ms):
             return self._fail_too_late("too little time for the prompt", now_ms)
@@ -439,7 +445,9 @@
         if attempt.is_from_copy and fault is Fault.FULL:
             return
         record_fault(self.placement, attempt.upstream, fault, now_ms)
-        if fault is Fault.BROKEN:
+        if fault is Fault.BROKEN and self.placement.upstreams.is_staying(
+            attempt.upstream
+        ):
             # The next attempt starts before the probe is answered.
             self.placement.health.suspect_zone(attempt.upstream.zone, now_ms)
 
@@ -455,21 +463,16 @@
         if attempt.copy_to is not None:
             self.placement.load(attempt.copy_to.upstream_id).n_copies -= 1
 
-    def _fail_without_upstream(self, now_ms: float) -> list[Action]:
-        return_ms = self.placement.return_after_limit_ms(self.service, now_ms)
-        if return_ms is None:
-            return self._fail_not_served("no upstream")
-        left_ms = self.deadline_ms - now_ms
-        return self._fail_not_served(LIMITED, useful_return_ms(return_ms, left_ms))
-
-    def _fail_not_served(
-        self, reason: str, retry_after_ms: float | None = None
-    ) -> list[Action]:
+    def _fail_not_served(self, reason: str, now_ms: float) -> list[Action]:
         if self.n_lost or self.has_delivered:
             return self._fail(Failure.UNKNOWN_OUTCOME, reason)
-        if retry_after_ms is None:
-            retry_after_ms = self.options.retry_after_ms
-        return self._fail(Failure.NOT_RUN, reason, retry_after_ms)
+        interval_ms = self.placement.pace(self.service).usual_prompt_ms
+        closure = self.placement.permission.find_closure(
+            self.service, self._tried, self.deadline_ms, interval_ms, now_ms
+        )
+        if closure is None:
+            return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
+        return self._fail(Failure.NOT_RUN, closure.reason, closure.return_ms)
 
     def _fail_blocked(self) -> list[Action]:
         """End a request that was blocked meanwhile, before it ends another engine."""
