Don't read a cut head as part of the head of the next response

Callers of an order that ran got 503, or it ran a second time, or a 500 came to them as a 200: an upstream sent a response to another request that broke off within a line of its head, and then its own response. Both were read as one head, with the status and the not-run header of the first and the id of the second, since the last of several ids counted.

A head with a status line within a header or the reason now breaks the exchange: the connection is closed and the outcome is unknown. That holds for informational responses too.

Contradictory framing (unequal lengths, a length beside a transfer coding, another coding) was refused before too and has a test now.

--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
@@ -31,6 +33,9 @@
 # A reused connection may first deliver responses that belong to no open request;
 # at most this many responses are read.
 MAX_FOREIGN_RESPONSES = 3
+# Begins a response. Within a line of a head it shows that the head was cut, and
+# that the lines after it belong to the next response.
+STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=MAX_HEAD_BYTES,
     max_body_size=MAX_RESPONSE_BYTES,
@@ -107,12 +112,17 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Read the head of a response; skip informational responses (1xx)."""
+        """Read the head of a response; skip informational responses (1xx).
+
+        Raises `HTTPInputError`, which closes the connection, if the head was cut.
+        """
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < 200:
-            return
         self._is_complete = False
         listed = list(headers.get_all())
+        if _is_cut(start_line, listed):
+            raise HTTPInputError("a head within a head")
+        if start_line.code < 200:
+            return
         self.is_framed = "Content-Length" in headers or (
             "Transfer-Encoding" in headers or start_line.code in (204, 304)
         )
@@ -151,6 +161,12 @@
         connection.finish()
 
 
+def _is_cut(start_line: ResponseStartLine, headers: Iterable[Header]) -> bool:
+    """Return whether the head contains the start of another response."""
+    values = [start_line.reason or "", *(value for _, value in headers)]
+    return any(STATUS_LINE.search(value) for value in values)
+
+
 async def fetch(
     connection_pool: ConnectionPool,
     address: Address,
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/exchange_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/exchange_tests.py
@@ -49,6 +49,14 @@
             self.addCleanup(stream.close)
         return exchange, b"".join(chunks)
 
+    async def is_read(self, response):
+        """Return whether a response is taken as complete; the connection closes."""
+        try:
+            await self.exchange(response, end="close")
+        except StreamBrokenError:
+            return False
+        return True
+
     async def test_reads_a_complete_response(self):
         for response, reusable in ((MATCHING, True), (CHUNKED, True), (CLOSING, False)):
             exchange, body = await self.exchange(response)
@@ -63,6 +71,25 @@
             _, body = await self.exchange(response)
             self.assertEqual(body, b"yes")
 
+    async def test_no_cut_head_is_read_as_part_of_the_next_response(self):
+        cuts = [
+            response[:n_bytes]
+            for response in (FOREIGN, INFORMATIONAL)
+            for n_bytes in range(1, len(response))
+        ]
+        read = [cut for cut in cuts if await self.is_read(cut + MATCHING)]
+        self.assertEqual(read, [])
+
+    async def test_contradictory_framing_raises_stream_broken(self):
+        lines = (
+            b"Content-Length: 2\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: gzip\r\n",
+        )
+        responses = [MATCHING.replace(b"X-Id", line + b"X-Id") for line in lines]
+        read = [response for response in responses if await self.is_read(response)]
+        self.assertEqual(read, [])
+
     async def test_a_response_without_length_ends_when_the_connection_closes(self):
         exchange, body = await self.exchange(UNFRAMED, end="close")
         self.assertEqual((body, exchange.is_reusable), (b"yes", False))
