Forward no request from a connection that has been closed

Orders ran whose callers could get no response: a request behind the last one that a connection carries ("Connection: close"), behind one that was refused for its size, or behind one whose body was late and that was answered 408. tornado goes on to parse what is left in its buffer after the connection was closed.

A request whose head or end is read from a closed connection is discarded now, as those behind a refused head already were; the first one of a connection is logged as request_not_forwarded. Each response that says "Connection: close" closes the connection before tornado reads the next head, so one check does.

--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -18,6 +18,7 @@
 
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
 from bronzeline_daemon.forwarding.head_timer import HeadTimer
+from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.exceptions import RequestError
 from bronzeline_kernel.forwarding import CallerLimits, CallerRequest, WireFormat
 
@@ -114,8 +115,8 @@
         """Check the head against the limits; refuse requests that exceed them."""
         assert isinstance(start_line, RequestStartLine)
         self._head_timer.stop()
-        if self._head_timer.has_refused:
-            self._response.suppress()
+        self._suppress_if_closed()
+        if self._response.is_over:
             return
         self._start_line = start_line
         self._headers = list(headers.get_all())
@@ -143,6 +144,7 @@
     def finish(self) -> None:
         """Parse the complete request and pass it on."""
         self._stop_timer()
+        self._suppress_if_closed()
         if self._response.is_over:
             return
         assert self._start_line is not None
@@ -162,6 +164,19 @@
         self._stop_timer()
         self._chunks.clear()
 
+    def _suppress_if_closed(self) -> None:
+        """Discard a request that can't be answered.
+
+        tornado reads on in the bytes that arrived before the connection was closed.
+        """
+        if self._response.is_over:
+            return
+        if self._connection.stream.closed() and not self._head_timer.has_refused:
+            self._head_timer.has_refused = True
+            log_event("request_not_forwarded", reason="connection_closed")
+        if self._head_timer.has_refused:
+            self._response.suppress()
+
     def _time_out(self) -> None:
         """Refuse a request whose body timed out; no upstream has seen it."""
         self._response.send(408, [])
