Act on a refusal at its head rather than at its end

Callers got 504 at their deadline, and streams went elsewhere after 9 s only, although an upstream had said in a head that it did not run the request: the router waited for the rest of the refusal, or until a long request was written out that the upstream did not read on.

An attempt whose head proves that nothing ran is lost at once. The exchange has 100 ms to end, so that the connection can be reused; then it is closed. A connection on which the request is not written out is not reused, as before.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -26,8 +26,11 @@
 # logged.
 OUTCOME_GRACE_MS = 1_000.0
 # The body of a rejection is read to its end, so that the connection can be reused,
-# unless it is longer than this.
+# unless it is longer than this or the exchange takes longer after the head.
 MAX_UNUSED_BYTES = 64 * 1024
+MAX_UNUSED_MS = 100.0
+# The head of the response proves that the request did not run.
+NOT_RUN_FAULTS = frozenset({Fault.REPLACED, Fault.FULL})
 
 
 @dataclass(frozen=True)
@@ -59,7 +62,9 @@
     _connection: Connection | None = None
     _task: asyncio.Task[None] | None = field(default=None)
     _is_abandoned: bool = False
+    _is_lost: bool = False
     _n_unused_bytes: int = 0
+    _unused_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Start in the background; abandon the attempt at the end of the grace time."""
@@ -84,7 +89,7 @@
     async def _run(self) -> None:
         number = self.send.number
         fault = await self._exchange()
-        if self._is_abandoned:
+        if self._is_abandoned or self._is_lost:
             return
         if fault is None:
             self.listener.on_complete(number)
@@ -106,6 +111,9 @@
         except StreamBrokenError:
             connection.close()
             return self._head_fault() or Fault.BROKEN
+        finally:
+            if self._unused_timer is not None:
+                self._unused_timer.cancel()
         if exchange.is_reusable and self.head is not None:
             self.connection_pool.release(address, connection, self.head.keep_alive_ms)
         else:
@@ -127,10 +135,26 @@
         self.head = head
         if not head.is_other_process:
             self.listener.on_response(self.send.upstream, head)
-        if not self._is_abandoned and self._head_fault() is None:
-            self.listener.on_head(self.send.number, head)
+        if not self._is_abandoned:
+            self._report_head(head)
         return True
 
+    def _report_head(self, head: ResponseHead) -> None:
+        fault = self._head_fault()
+        if fault is None:
+            self.listener.on_head(self.send.number, head)
+        elif fault in NOT_RUN_FAULTS:
+            self._lose_at_head(fault)
+
+    def _lose_at_head(self, fault: Fault) -> None:
+        """Report the fault before the exchange ends, and limit the time until then."""
+        self._is_lost = True
+        assert self._connection is not None
+        self._unused_timer = asyncio.get_running_loop().call_later(
+            MAX_UNUSED_MS / 1000.0, self._connection.close
+        )
+        self.listener.on_lost(self.send.number, fault)
+
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
         if self._is_abandoned:
             return None
