Read the own response behind as many extra ones as the limit says

A caller got 502 though the own response was there, behind three responses to other requests: the limit of three counted the own one too. It counts only those of others now.

On the code before, the test that skips responses of others raised StreamBrokenError with three of them ahead; it passes now, and one more than the limit still breaks the exchange.

--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -31,7 +31,7 @@
 # A response that belongs to no request is read to its end up to this size.
 MAX_FOREIGN_BYTES = 256 * 1024
 # A reused connection may first deliver responses that belong to no open request;
-# at most this many responses are read.
+# at most this many are read before the own one.
 MAX_FOREIGN_RESPONSES = 3
 # Begins a response. Within a line of a head it shows that the head was cut, and
 # that the lines after it belong to the next response.
@@ -87,7 +87,7 @@
         connection = HTTP1Connection(self.stream, True, PARAMETERS)
         try:
             self._write(connection, request)
-            for _ in range(MAX_FOREIGN_RESPONSES):
+            for _ in range(MAX_FOREIGN_RESPONSES + 1):
                 await connection.read_response(self)
                 if self.has_response:
                     break
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/exchange_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/exchange_tests.py
@@ -3,7 +3,11 @@
 import unittest
 
 from bronzeline_daemon.forwarding.connection_pool import connect
-from bronzeline_daemon.forwarding.exchange import Exchange, OutgoingRequest
+from bronzeline_daemon.forwarding.exchange import (
+    MAX_FOREIGN_RESPONSES,
+    Exchange,
+    OutgoingRequest,
+)
 from bronzeline_kernel.exceptions import StreamBrokenError
 
 MATCHING = b"HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 3\r\n\r\nyes"
@@ -66,6 +70,7 @@
         for response in (
             FOREIGN + MATCHING,
             FOREIGN + FOREIGN + MATCHING,
+            FOREIGN * MAX_FOREIGN_RESPONSES + MATCHING,
             INFORMATIONAL + MATCHING,
         ):
             _, body = await self.exchange(response)
@@ -100,6 +105,7 @@
             (MATCHING[:-1], "close"),
             (CHUNKED[:-5], "close"),
             (FOREIGN * 3, "close"),
+            (FOREIGN * (MAX_FOREIGN_RESPONSES + 1) + MATCHING, "close"),
             (b"\x00 nonsense\r\n\r\n", "close"),
             (b"", "close"),
         ):
