Name the lost attempt's own upstream, and log a late body

With a hedge under way, attempt_lost named the upstream of the latest attempt rather than that of the lost one. A request whose body was late was answered 408 without a line in the log; body_timed_out now gives the limit.

On the code before, attempt_lost of an attempt on order-zone-a named order-zone-c, and no line told of the 408; both tests pass now.

--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -179,6 +179,9 @@
 
     def _time_out(self) -> None:
         """Refuse a request whose body timed out; no upstream has seen it."""
+        if self._response.is_over:
+            return
+        log_event("body_timed_out", limit_ms=round(self._limits.idle_timeout_ms))
         self._response.send(408, [])
 
     def _stop_timer(self) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -268,7 +268,7 @@
             "attempt_lost",
             number=number,
             fault=fault.value,
-            upstream_id=self._upstream_id,
+            upstream_id=attempt.send.upstream.upstream_id,
             after_ms=round(self.now_ms() - self._started_at_ms),
             n_events=self.n_events(number),
             **response_fields(attempt.head, attempt.n_earlier_requests),
