--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -172,12 +172,15 @@
     address: Address,
     request: OutgoingRequest,
     timeout_ms: float,
+    *,
+    keeps_connection: bool = True,
 ) -> HttpResponse:
     """Send a request and return its complete response.
 
-    Raises `UpstreamUnreachableError` when nothing was sent and
-    `StreamBrokenError` when the response is incomplete, exceeds the timeout or
-    the pool's limit for buffered responses.
+    The connection is closed afterwards unless `keeps_connection`. Raises
+    `UpstreamUnreachableError` when nothing was sent and `StreamBrokenError` when the
+    response is incomplete, exceeds the timeout or the pool's limit for buffered
+    responses.
     """
     connection = await connection_pool.acquire(address, timeout_ms)
     response = HttpResponse(0, [], b"")
@@ -207,7 +210,7 @@
         raise
     finally:
         response.body = buffer.pop()
-        if exchange.is_reusable:
+        if exchange.is_reusable and keeps_connection:
             connection_pool.release(address, connection, None)
         else:
             connection.close()
