--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
@@ -29,8 +31,11 @@
 # A response that belongs to no request is read to its end up to this size.
 MAX_FOREIGN_BYTES = 256 * 1024
 # A reused connection may first deliver responses that belong to no open request;
-# at most this many responses are read.
+# at most this many are read before the own one.
 MAX_FOREIGN_RESPONSES = 3
+# Begins a response. Within a line of a head it shows that the head was cut, and
+# that the lines after it belong to the next response.
+STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=MAX_HEAD_BYTES,
     max_body_size=MAX_RESPONSE_BYTES,
@@ -82,7 +87,7 @@
         connection = HTTP1Connection(self.stream, True, PARAMETERS)
         try:
             self._write(connection, request)
-            for _ in range(MAX_FOREIGN_RESPONSES):
+            for _ in range(MAX_FOREIGN_RESPONSES + 1):
                 await connection.read_response(self)
                 if self.has_response:
                     break
@@ -107,12 +112,17 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Read the head of a response; skip informational responses (1xx)."""
+        """Read the head of a response; skip informational responses (1xx).
+
+        Raises `HTTPInputError`, which closes the connection, if the head was cut.
+        """
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < 200:
-            return
         self._is_complete = False
         listed = list(headers.get_all())
+        if _is_cut(start_line, listed):
+            raise HTTPInputError("a head within a head")
+        if start_line.code < 200:
+            return
         self.is_framed = "Content-Length" in headers or (
             "Transfer-Encoding" in headers or start_line.code in (204, 304)
         )
@@ -151,17 +161,26 @@
         connection.finish()
 
 
+def _is_cut(start_line: ResponseStartLine, headers: Iterable[Header]) -> bool:
+    """Return whether the head contains the start of another response."""
+    values = [start_line.reason or "", *(value for _, value in headers)]
+    return any(STATUS_LINE.search(value) for value in values)
+
+
 async def fetch(
     connection_pool: ConnectionPool,
     address: Address,
     request: OutgoingRequest,
     timeout_ms: float,
+    *,
+    keeps_connection: bool = True,
 ) -> HttpResponse:
     """Send a request and return its complete response.
 
-    Raises `UpstreamUnreachableError` when nothing was sent and
-    `StreamBrokenError` when the response is incomplete, exceeds the timeout or
-    the pool's limit for buffered responses.
+    The connection is closed afterwards unless `keeps_connection`. Raises
+    `UpstreamUnreachableError` when nothing was sent and `StreamBrokenError` when the
+    response is incomplete, exceeds the timeout or the pool's limit for buffered
+    responses.
     """
     connection = await connection_pool.acquire(address, timeout_ms)
     response = HttpResponse(0, [], b"")
@@ -191,7 +210,7 @@
         raise
     finally:
         response.body = buffer.pop()
-        if exchange.is_reusable:
+        if exchange.is_reusable and keeps_connection:
             connection_pool.release(address, connection, None)
         else:
             connection.close()
