--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -20,6 +20,7 @@
 SUBTEST = re.compile(r" [\[(][^()]*[\])]$")
 FAULT_CELL = re.compile(r"FaultCell\(fault='([^']*)', step='([^']*)'\)")
 FAILED_OUTCOMES = frozenset({"failed", "error"})
+SUBTEST_OUTCOME = "subtest"
 BENCH_PREFIX = "bench "
 
 
@@ -46,12 +47,18 @@
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Record a failed or skipped case."""
         name = case_name(event.test.id())
-        if event.outcome in FAILED_OUTCOMES and not event.expected:
+        is_failed = event.outcome in FAILED_OUTCOMES and not event.expected
+        if is_failed or is_failed_subtest(event):
             self.failed.add(name)
         if event.outcome == "skipped":
             self.skipped.add(name)
 
 
+def is_failed_subtest(event: Any) -> bool:
+    """Return whether the outcome is that of a subtest that failed."""
+    return event.outcome == SUBTEST_OUTCOME and event.exc_info is not None
+
+
 def case_name(test_id: str) -> str:
     """Return the name of a case with its parameters instead of its number.
 
--- a/packages/standins/bronzeline_standins/tests/known_red_tests.py
+++ b/packages/standins/bronzeline_standins/tests/known_red_tests.py
@@ -6,6 +6,7 @@
 import unittest
 from pathlib import Path
 
+from nose2.main import PluggableTestProgram
 from nose2.tools import params
 
 ROOT = Path(__file__).resolve().parents[4]
@@ -21,6 +22,32 @@
 
 
 RUNNER = load_runner()
+SUBTESTS = """
+import unittest
+
+class SampleTests(unittest.TestCase):
+    def test_sample(self):
+        for number in range(3):
+            with self.subTest(number=number):
+                self.assertLess(number, {limit})
+"""
+
+
+def recorded_failures(text):
+    """Run a module of tests in this process; return the failures recorded."""
+    outcomes = RUNNER.OutcomeRecorder()
+    with tempfile.TemporaryDirectory() as folder:
+        (Path(folder) / "sampled.py").write_text(text)
+        argv = ["nose2", "--no-user-config", "-s", folder, "sampled"]
+        with contextlib.redirect_stderr(io.StringIO()):
+            PluggableTestProgram(
+                module=None,
+                argv=argv,
+                exit=False,
+                extraHooks=[("startTest", outcomes), ("testOutcome", outcomes)],
+            )
+    sys.modules.pop("sampled", None)
+    return outcomes.failed
 
 
 class KnownRedTests(unittest.TestCase):
@@ -37,6 +64,10 @@
     def test_case_names_do_not_depend_on_the_number_of_cases(self, test_id, name):
         self.assertEqual(RUNNER.case_name(test_id), name)
 
+    @params((3, set()), (2, {"sampled.SampleTests.test_sample"}))
+    def test_a_failed_subtest_is_not_passed_over(self, limit, failures):
+        self.assertEqual(recorded_failures(SUBTESTS.format(limit=limit)), failures)
+
     def test_a_listed_case_is_reported_by_its_outcome(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "red.txt"
