Log when the store was restored from a copy

Cause: no line and no metric told of the header Store-Era, so that a list with a lower revision looked like one that was read late.

Change: the store's client hands each named era to StoreEra; a rise is logged as store_restored, and the gauge bronzeline_store_era shows it. Nothing acts on it yet.

--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -99,6 +99,7 @@
             self.random,
         )
         self._store = store
+        store.era.listen(_log_restored)
         self._add_gauges()
         self._metrics_port = metrics_port
         self._metrics_server = MetricsServer(self.service.metrics)
@@ -209,6 +210,11 @@
                 "Connections opened to upstreams.",
                 lambda: self.service.connection_pool.n_opened,
             ),
+            (
+                "store_era",
+                "Era of the store; rises when it is restored from a copy.",
+                lambda: float(self._store.era.number),
+            ),
             (
                 "reads_store",
                 "1 while this router reads the store itself.",
@@ -227,6 +233,10 @@
         send_plain_response(request, 200 if self.is_ready else 503)
 
 
+def _log_restored(former_era: int, era: int) -> None:
+    log_event("store_restored", era=era, former_era=former_era)
+
+
 def _lease_terms(settings: ForwardingSettings) -> LeaseTerms:
     max_age_ms = settings.key_revocation_ms - LEASE_MARGIN_MS
     return LeaseTerms(max_age_ms, READY_RATIO * max_age_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -17,6 +17,7 @@
     Send,
 )
 from bronzeline_kernel.forwarding.peer_messages import RouterEntry
+from bronzeline_kernel.forwarding.store_era import StoreEra
 from bronzeline_kernel.forwarding.upstream_notices import NO_NOTICE, UpstreamNotice
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
@@ -66,6 +67,9 @@
     and `HistoryLostError` if a watch can't continue from its revision.
     """
 
+    # Takes in the era that each response names.
+    era: StoreEra
+
     async def read_config(self, *, allow_stale: bool = False) -> ConfigReading:
         """Return the newest configuration; a stale read may return an older one."""
 
