Compare positions in the store by era, then by revision

Cause: routers compared and kept bare revisions. The store gives them out again after it was restored from a copy: a watch from the old one is answered without what was written again below it, and a peer's later list looks older. The class: a number is compared without the name of the sequence that it counts in.

Change: a StorePosition (era, revision) takes the place of the revision in readings, the log of changes, messages and documents between routers.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -27,6 +27,7 @@
     ForwardingView,
     ProofSource,
     RouterEntry,
+    StorePosition,
     UpstreamChange,
     UpstreamChanges,
     UpstreamListing,
@@ -47,8 +48,8 @@
 # After an error that nothing foresaw, which may come again with each reading.
 FAILURE_PAUSE_S = 1.0
 OnConfig = Callable[[], None]
-# Called with the revision to continue from, None for a full read.
-Read = Callable[[int | None], Coroutine[None, None, WatchPosition]]
+# Called with the position to continue from, None for a full read.
+Read = Callable[[StorePosition | None], Coroutine[None, None, WatchPosition]]
 # Called with the kind of object and the outcome of a call.
 OnCall = Callable[[str, str], None]
 
@@ -78,6 +79,7 @@
         self._watch_states = WatchStates(proof_source, random)
         self._states = self._watch_states.by_kind
         self._tasks: list[asyncio.Task[None]] = []
+        store.era.listen(self._on_restored)
 
     def start(self) -> None:
         """Start the two loops."""
@@ -102,42 +104,44 @@
 
     async def _run(self, kind: str, read: Read) -> None:
         """Read until cancelled; an error of one reading does not end the loop."""
-        revision: int | None = None
+        position: StorePosition | None = None
         state = self._states[kind]
         while True:
             try:
-                revision = await self._read_next(kind, read, revision)
+                position = await self._read_next(kind, read, position)
                 state.failure = ""
             except Exception as error:
                 self._on_call(kind, "failed")
                 if state.failure != repr(error):
                     log_exception("watch_failed", _exception_info(error), what=kind)
                 state.failure = repr(error)
-                revision = None
+                position = None
                 await asyncio.sleep(FAILURE_PAUSE_S)
 
     async def _read_next(
-        self, kind: str, read: Read, revision: int | None
-    ) -> int | None:
-        """Read once from a peer or the store; return the revision to continue from."""
+        self, kind: str, read: Read, position: StorePosition | None
+    ) -> StorePosition | None:
+        """Read once from a peer or the store; return the position to continue from."""
         state = self._states[kind]
         peer, state.peer_ahead = state.peer_ahead, None
         if peer is not None and await self._fetch_from(peer, kind):
-            return revision
+            return position
         if (
-            revision is not None
+            position is not None
             and peer is None
             and not self._watch_states.must_read(kind, self._clock.now_ms())
         ):
             await asyncio.sleep(IDLE_POLL_S)
-            return revision
-        if peer is not None:
-            revision = None
+            return position
+        if peer is not None or self._is_outdated(position):
+            position = None
         try:
-            position = await self._call_store(kind, read(revision))
-        except HistoryLostError:
+            read_to = await self._call_store(kind, read(position))
+        except HistoryLostError as error:
             self._on_call(kind, "history_lost")
-            log_event("history_lost", what=kind, revision=revision)
+            log_event(
+                "history_lost", what=kind, position=str(position), error=str(error)
+            )
             state.has_lost_history = True
             return None
         except StoreUnavailableError as error:
@@ -145,13 +149,17 @@
             self._mark_unavailable(kind, str(error))
             pause_ms = self._watch_states.retry_pause_ms(kind, self._clock.now_ms())
             await asyncio.sleep(pause_ms / 1000.0)
-            return revision
-        if position is None:
-            return revision
+            return position
+        if read_to is None:
+            return position
         self._on_call(kind, "answered")
         self._mark_available(kind)
-        await self._pause(kind, position.next_at_ms)
-        return position.revision
+        await self._pause(kind, read_to.next_at_ms)
+        return read_to.position
+
+    def _is_outdated(self, position: StorePosition | None) -> bool:
+        """Return whether a position is from before the store was restored."""
+        return position is not None and position.era != self._store.era.number
 
     async def _fetch_from(self, peer: RouterEntry, kind: str) -> bool:
         """Fetch and apply a peer's data; return whether the peer answered."""
@@ -162,7 +170,7 @@
                 self._apply_peer_upstreams(
                     peer,
                     await self._documents.read_upstreams(
-                        peer, self._view.changes.revision
+                        peer, self._view.changes.position
                     ),
                 )
         except UpstreamError as error:
@@ -174,7 +182,7 @@
         self, peer: RouterEntry, update: UpstreamListing | UpstreamChanges
     ) -> None:
         if isinstance(update, UpstreamChanges):
-            self.apply_changes(update.changes, update.revision)
+            self.apply_changes(update.changes, update.position)
             return
         is_applied = self._view.apply_peer_listing(update, self._clock.now_ms())
         self._log_listing(update, peer, is_applied)
@@ -198,27 +206,27 @@
             log_event("call_left", what=kind)
             return None
 
-    async def _poll_config(self, revision: int | None) -> WatchPosition:
+    async def _poll_config(self, position: StorePosition | None) -> WatchPosition:
         sent_at_ms = self._clock.now_ms()
-        if revision is None and self._may_start_stale(CONFIG):
+        if position is None and self._may_start_stale(CONFIG):
             reading = await self._store.read_config(allow_stale=True)
             self._apply_reading(reading)
-            return WatchPosition(reading.revision)
-        if revision is None:
+            return WatchPosition(reading.position)
+        if position is None:
             reading = await self._store.read_config()
         else:
-            reading = await self._store.watch_config(revision, 0.0)
+            reading = await self._store.watch_config(position, 0.0)
         self._apply_reading(reading)
         self._view.lease.renew(sent_at_ms)
         self._proof_source.store_read(self._clock.now_ms())
         interval_ms = self._proof_source.options.poll_interval_ms
-        return WatchPosition(reading.revision, sent_at_ms + interval_ms)
+        return WatchPosition(reading.position, sent_at_ms + interval_ms)
 
     def _may_start_stale(self, kind: str) -> bool:
         """Return whether the first read may return old data.
 
         Such a read does not count against the store's rate limit. The watch
-        continues from its revision and returns later changes, unless the store
+        continues from its position and returns later changes, unless the store
         no longer keeps that part of the history.
         """
         return not self._states[kind].has_lost_history
@@ -254,29 +262,31 @@
         log_event(
             "upstreams_listed" if is_applied else "upstreams_declined",
             n_upstreams=len(listing.upstreams),
-            revision=listing.revision,
+            position=str(listing.position),
             source=_source_name(peer),
         )
 
-    async def _watch_upstreams(self, revision: int | None) -> WatchPosition:
-        if revision is None:
+    async def _watch_upstreams(self, position: StorePosition | None) -> WatchPosition:
+        if position is None:
             may_be_stale = (
                 self._may_start_stale(UPSTREAMS) and not self._view.upstreams.is_loaded
             )
             listing = await self._store.list_upstreams(allow_stale=may_be_stale)
             self._view.apply_listing(listing, self._clock.now_ms())
             self._log_listing(listing, None)
-            return WatchPosition(listing.revision)
+            return WatchPosition(listing.position)
         # A peer may have sent later changes in the meantime.
-        after_revision = max(revision, self._view.changes.revision)
+        after = max(position, self._view.changes.position)
         wait_ms = 0.0 if self._watch_states.is_any_unavailable else UPSTREAM_WAIT_MS
-        changes = await self._store.watch_upstreams(after_revision, wait_ms)
-        self.apply_changes(changes.changes, changes.revision)
+        changes = await self._store.watch_upstreams(after, wait_ms)
+        self.apply_changes(changes.changes, changes.position)
         is_grouped = bool(changes.changes)
         next_at_ms = self._clock.now_ms() + GROUPING_MS if is_grouped else 0.0
-        return WatchPosition(changes.revision, next_at_ms)
+        return WatchPosition(changes.position, next_at_ms)
 
-    def apply_changes(self, changes: tuple[UpstreamChange, ...], revision: int) -> None:
+    def apply_changes(
+        self, changes: tuple[UpstreamChange, ...], position: StorePosition
+    ) -> None:
         """Apply and log changes of upstreams from the store or from a peer."""
         # An entry that can't be read may be written again and again.
         known = [
@@ -285,16 +295,24 @@
             if change.entry is not None
             or self._view.upstreams.get(change.upstream_id) is not None
         ]
-        self._view.apply_changes(changes, revision, self._clock.now_ms())
+        self._view.apply_changes(changes, position, self._clock.now_ms())
         for change in known:
             entry = change.entry
             log_event(
                 "upstream_changed",
                 upstream_id=change.upstream_id,
                 state="gone" if entry is None else _state_name(entry.is_leaving),
-                revision=revision,
+                position=str(position),
             )
 
+    def _on_restored(self, former_era: int, era: int) -> None:
+        """Read in full what calls from before the restoration would not return."""
+        answered = asyncio.current_task()
+        for state in self._states.values():
+            state.has_lost_history = True
+            if state.call is not None and state.call is not answered:
+                state.call.cancel()
+
     def _mark_unavailable(self, kind: str, error: str) -> None:
         state = self._states[kind]
         if not state.is_unavailable:
--- a/packages/daemon/bronzeline_daemon/forwarding/peer_documents.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peer_documents.py
@@ -24,6 +24,7 @@
     PeerList,
     RouterEntry,
     RouterListing,
+    StorePosition,
     UpstreamChanges,
     UpstreamListing,
 )
@@ -32,6 +33,8 @@
 __all__ = ["PeerDocuments"]
 
 Document = TypeVar("Document")
+# Differs between two states of a document.
+Version = int | StorePosition
 
 CONFIG_PATH = "/configuration"
 UPSTREAMS_PATH = "/upstreams"
@@ -60,7 +63,7 @@
         self._codec.register(UpstreamListing)
         self._codec.register(UpstreamChanges)
         self._codec.register(RouterListing)
-        self._compressed: dict[str, tuple[int, bytes]] = {}
+        self._compressed: dict[str, tuple[Version | None, bytes]] = {}
         self._server = HTTPServer(self._respond)
 
     def start(self, host: str, port: int) -> None:
@@ -77,14 +80,14 @@
         return await self._read(peer, CONFIG_PATH, ForwardingConfig)
 
     async def read_upstreams(
-        self, peer: RouterEntry, revision: int
+        self, peer: RouterEntry, position: StorePosition
     ) -> UpstreamListing | UpstreamChanges:
-        """Return a peer's changes since a revision, or its complete list.
+        """Return a peer's changes since a position, or its complete list.
 
         The peer sends the list when it does not keep changes that far back.
         Raises `UpstreamError`.
         """
-        path = f"{UPSTREAMS_PATH}?since={revision}"
+        path = f"{UPSTREAMS_PATH}?since={position}"
         return await self._read(peer, path, (UpstreamListing, UpstreamChanges))
 
     async def read_routers(self, peer: RouterEntry) -> RouterListing:
@@ -112,28 +115,29 @@
 
     def _respond(self, request: HTTPServerRequest) -> None:
         since = request.query_arguments.get("since", [b""])[-1]
-        body = self._body(request.path, since)
+        body = self._body(request.path, since.decode("latin-1"))
         send_plain_response(request, 200 if body else 404, body)
 
-    def _body(self, path: str, since: bytes = b"") -> bytes:
+    def _body(self, path: str, since: str = "") -> bytes:
         """Return a document in compressed form; empty if there is none."""
         view = self._view
         if path == CONFIG_PATH and view.table is not None:
             return self._compress(path, view.version, view.table.config)
         if path == UPSTREAMS_PATH and view.upstreams.is_loaded:
-            changes = view.changes.since(int(since)) if since.isdigit() else None
+            position = StorePosition.parse(since)
+            changes = view.changes.since(position) if position is not None else None
             if changes is not None:
-                update = UpstreamChanges(changes, view.changes.revision)
+                update = UpstreamChanges(changes, view.changes.position)
                 return zlib.compress(self._codec.encode(update), COMPRESSION_LEVEL)
-            return self._compress(path, view.changes.revision, view.listing())
+            return self._compress(path, view.changes.position, view.listing())
         if path == ROUTERS_PATH and self._peer_list.is_listed:
             return self._compress(
                 path, self._peer_list.digest, self._peer_list.listing()
             )
         return b""
 
-    def _compress(self, path: str, version: int, document: object) -> bytes:
-        compressed_version, compressed = self._compressed.get(path, (-1, b""))
+    def _compress(self, path: str, version: Version, document: object) -> bytes:
+        compressed_version, compressed = self._compressed.get(path, (None, b""))
         if compressed_version != version:
             compressed = zlib.compress(self._codec.encode(document), COMPRESSION_LEVEL)
             self._compressed[path] = (version, compressed)
--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -60,8 +60,8 @@
             request = self._proof_source.next_request(now_ms)
             if request is not None:
                 own_id = self._peers.own.router_id
-                revision = self._view.changes.revision
-                message = ProofAsked(own_id, request.number, revision)
+                position = self._view.changes.position
+                message = ProofAsked(own_id, request.number, position)
                 self._peers.send_to(message, request.peer)
             self._log_role_change(now_ms)
 
@@ -77,15 +77,14 @@
         age_ms = self._view.lease.age_ms(now_ms)
         if not self._view.upstreams.is_loaded:
             age_ms = float("inf")
-        changes = self._view.changes.since(request.upstream_revision)
-        revision = self._view.changes.revision
+        changes = self._view.changes.since(request.position)
         if changes is not None and len(changes) > MAX_CHANGES_AT_ONCE:
             changes = None
         proof = ProofGiven(
             request.number,
             self._view.version,
             age_ms,
-            revision,
+            self._view.changes.position,
             changes,
             self._view.upstreams.away_until_ms_ago(now_ms),
         )
@@ -105,9 +104,9 @@
         if proof.away_until_ms_ago is not None:
             recovered_at_ms = now_ms - proof.away_until_ms_ago
             self._view.upstreams.store_recovered(recovered_at_ms)
-        if proof.upstream_revision <= self._view.changes.revision:
+        if proof.position <= self._view.changes.position:
             return
         if proof.changes is None:
             self._watch.fetch_upstreams_from(peer)
         else:
-            self._watch.apply_changes(proof.changes, proof.upstream_revision)
+            self._watch.apply_changes(proof.changes, proof.position)
--- a/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/watch_states.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from bronzeline_daemon.forwarding.store_timeout import StoreTimeout
-from bronzeline_kernel.forwarding import ProofSource, RouterEntry
+from bronzeline_kernel.forwarding import ProofSource, RouterEntry, StorePosition
 
 __all__ = [
     "CONFIG",
@@ -24,9 +24,9 @@
 
 @dataclass(frozen=True)
 class WatchPosition:
-    """Hold the revision that was read, and the time of the next call."""
+    """Hold the position that was read, and the time of the next call."""
 
-    revision: int
+    position: StorePosition
     next_at_ms: float = 0.0
 
 
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
@@ -10,6 +10,7 @@
     LeaseTerms,
     PeerList,
     RouterEntry,
+    StorePosition,
     UpstreamChange,
     UpstreamListing,
 )
@@ -19,12 +20,16 @@
 OWN = RouterEntry("router-0", "127.0.0.1", 1, "zone-a")
 
 
+def at(revision, era=1):
+    return StorePosition(era, revision)
+
+
 def make_view(version=0, upstreams=()):
     result = ForwardingView(LeaseTerms(4_700.0, 3_400.0))
     if version:
         result.apply_config(config(version))
     if upstreams:
-        result.apply_listing(UpstreamListing(tuple(upstreams), 7), 0.0)
+        result.apply_listing(UpstreamListing(tuple(upstreams), at(7)), 0.0)
     return result
 
 
@@ -49,8 +54,8 @@
         self.serve(view)
         result = await self.reader.read_config(self.peer)
         self.assertEqual(result, view.table.config)
-        listing = await self.reader.read_upstreams(self.peer, 0)
-        self.assertEqual((listing.upstreams, listing.revision), (tuple(fleet()), 7))
+        listing = await self.reader.read_upstreams(self.peer, StorePosition())
+        self.assertEqual((listing.upstreams, listing.position), (tuple(fleet()), at(7)))
 
     async def test_the_list_of_routers_includes_the_peer_itself(self):
         self.serve(make_view(), [OWN])
@@ -65,13 +70,14 @@
     async def test_sends_only_changes_if_they_are_known(self):
         view = make_view(4, fleet())
         change = UpstreamChange("zone-a-0", None)
-        view.apply_changes((change,), 9, 0.0)
+        view.apply_changes((change,), at(9), 0.0)
         self.serve(view)
         for revision, expected in ((7, (change,)), (9, ())):
-            result = await self.reader.read_upstreams(self.peer, revision)
-            self.assertEqual((result.changes, result.revision), (expected, 9))
-        listing = await self.reader.read_upstreams(self.peer, 3)
-        self.assertEqual(len(listing.upstreams), len(fleet()) - 1)
+            result = await self.reader.read_upstreams(self.peer, at(revision))
+            self.assertEqual((result.changes, result.position), (expected, at(9)))
+        for known in (at(3), at(9, era=0), at(9, era=2)):
+            listing = await self.reader.read_upstreams(self.peer, known)
+            self.assertEqual(len(listing.upstreams), len(fleet()) - 1)
 
     async def test_a_new_version_is_compressed_anew(self):
         view = make_view(4)
@@ -88,7 +94,7 @@
         with self.assertRaises(UpstreamError):
             await self.reader.read_config(self.peer)
         with self.assertRaises(UpstreamError):
-            await self.reader.read_upstreams(self.peer, 0)
+            await self.reader.read_upstreams(self.peer, StorePosition())
 
     async def test_invalid_documents_raise_an_error(self):
         server = self.serve(make_view(4))
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -124,6 +124,7 @@
 from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
 from bronzeline_kernel.forwarding.stop_plan import StopPlan
 from bronzeline_kernel.forwarding.store_era import StoreEra
+from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.stream_end import StreamEnd
 from bronzeline_kernel.forwarding.stream_limits import StreamLimits, stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
@@ -242,6 +243,7 @@
     "SocketAddress",
     "StopPlan",
     "StoreEra",
+    "StorePosition",
     "StreamEnd",
     "StreamLimits",
     "StreamOptions",
--- a/packages/kernel/bronzeline_kernel/forwarding/change_log.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/change_log.py
@@ -5,12 +5,15 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
 __all__ = ["ChangeLog", "UpstreamChange"]
 
 # Losing a zone of the largest site changes 40 entries twice.
 MAX_CHANGES = 400
+# Before any state that the store may be read in.
+START = StorePosition()
 
 
 @dataclass(frozen=True)
@@ -23,28 +26,28 @@
 
 @dataclass
 class ChangeLog:
-    """Hold the latest changes with the store revision of each."""
+    """Hold the latest changes with the store's position at each."""
 
-    revision: int = 0
-    _first_revision: int = 0
-    _changes: deque[tuple[int, UpstreamChange]] = field(default_factory=deque)
+    position: StorePosition = START
+    _first_position: StorePosition = START
+    _changes: deque[tuple[StorePosition, UpstreamChange]] = field(default_factory=deque)
 
-    def restart(self, revision: int) -> None:
-        """Clear the log after a full list was read at a revision."""
+    def restart(self, position: StorePosition) -> None:
+        """Clear the log after a full list was read at a position."""
         self._changes.clear()
-        self._first_revision = self.revision = revision
+        self._first_position = self.position = position
 
-    def add(self, changes: tuple[UpstreamChange, ...], revision: int) -> None:
-        """Append the changes that led up to a revision."""
-        self.revision = max(self.revision, revision)
-        self._changes.extend((revision, change) for change in changes)
+    def add(self, changes: tuple[UpstreamChange, ...], position: StorePosition) -> None:
+        """Append the changes that led up to a position."""
+        self.position = max(self.position, position)
+        self._changes.extend((position, change) for change in changes)
         while len(self._changes) > MAX_CHANGES:
-            self._first_revision = self._changes.popleft()[0]
+            self._first_position = self._changes.popleft()[0]
 
-    def since(self, revision: int) -> tuple[UpstreamChange, ...] | None:
-        """Return the changes after a revision, None if the log does not cover it."""
-        if revision < self._first_revision or revision > self.revision:
+    def since(self, position: StorePosition) -> tuple[UpstreamChange, ...] | None:
+        """Return the changes after a position, None if the log does not cover it."""
+        if not self._first_position <= position <= self.position:
             return None
         return tuple(
-            change for at_revision, change in self._changes if at_revision > revision
+            change for changed_at, change in self._changes if changed_at > position
         )
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -6,6 +6,7 @@
 
 from bronzeline_kernel.forwarding.change_log import UpstreamChange
 from bronzeline_kernel.forwarding.run_directory import RunRecord
+from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
 __all__ = [
@@ -136,11 +137,14 @@
 
 @dataclass(frozen=True)
 class ProofAsked:
-    """Request proof of how current a peer is, and the upstream changes it knows."""
+    """Request proof of how current a peer is, and the upstream changes it knows.
+
+    `position` is that of the sender's list of upstreams.
+    """
 
     router_id: str
     number: int
-    upstream_revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True)
@@ -155,6 +159,6 @@
     number: int
     config_version: int
     age_ms: float
-    upstream_revision: int
+    position: StorePosition
     changes: tuple[UpstreamChange, ...] | None
     away_until_ms_ago: float | None
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -18,6 +18,7 @@
 )
 from bronzeline_kernel.forwarding.peer_messages import RouterEntry
 from bronzeline_kernel.forwarding.store_era import StoreEra
+from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.upstream_notices import NO_NOTICE, UpstreamNotice
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
@@ -38,33 +39,34 @@
 
 @dataclass(frozen=True)
 class ConfigReading:
-    """Hold the configuration that was read and the store's revision at that time."""
+    """Hold the configuration that was read and the store's position at that time."""
 
     config: ForwardingConfig | None
-    revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True)
 class UpstreamListing:
-    """Hold all listed upstreams and the store's revision at that time."""
+    """Hold all listed upstreams and the store's position at that time."""
 
     upstreams: tuple[ListedUpstream, ...]
-    revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True)
 class UpstreamChanges:
-    """Hold the changes since a revision, and the revision to continue from."""
+    """Hold the changes since a position, and the position to continue from."""
 
     changes: tuple[UpstreamChange, ...]
-    revision: int
+    position: StorePosition
 
 
 class DirectoryStore(Protocol):
     """Read configuration and upstreams from the platform's store.
 
-    Every method raises `StoreUnavailableError` if the store does not respond
-    and `HistoryLostError` if a watch can't continue from its revision.
+    Every method raises `StoreUnavailableError` if the store does not respond, or if
+    the response is from before its latest era, and `HistoryLostError` if a watch can't
+    continue from its position.
     """
 
     # Takes in the era that each response names.
@@ -73,13 +75,17 @@
     async def read_config(self, *, allow_stale: bool = False) -> ConfigReading:
         """Return the newest configuration; a stale read may return an older one."""
 
-    async def watch_config(self, revision: int, wait_ms: float) -> ConfigReading:
+    async def watch_config(
+        self, position: StorePosition, wait_ms: float
+    ) -> ConfigReading:
         """Wait up to `wait_ms` for a change; `config` is None if there was none."""
 
     async def list_upstreams(self, *, allow_stale: bool = False) -> UpstreamListing:
         """Return all upstreams; a stale read may return an older list."""
 
-    async def watch_upstreams(self, revision: int, wait_ms: float) -> UpstreamChanges:
+    async def watch_upstreams(
+        self, position: StorePosition, wait_ms: float
+    ) -> UpstreamChanges:
         """Wait for changes of upstreams for up to `wait_ms`."""
 
     async def announce_router(self, entry: RouterEntry) -> None:
--- a/packages/kernel/bronzeline_kernel/forwarding/view.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/view.py
@@ -7,6 +7,7 @@
 from bronzeline_kernel.forwarding.lease import FreshnessLease, LeaseTerms
 from bronzeline_kernel.forwarding.protocols import UpstreamListing
 from bronzeline_kernel.forwarding.route_table import RouteTable
+from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.upstream_set import UpstreamSet
 
 __all__ = ["ForwardingView"]
@@ -39,31 +40,38 @@
     def apply_listing(self, listing: UpstreamListing, now_ms: float) -> None:
         """Replace the list of upstreams."""
         self.upstreams.replace_all(listing.upstreams, now_ms)
-        self.changes.restart(listing.revision)
+        self.changes.restart(listing.position)
 
     def listing(self) -> UpstreamListing:
         """Return the complete list of upstreams, for a peer."""
-        return UpstreamListing(self.upstreams.listed(), self.changes.revision)
+        return UpstreamListing(self.upstreams.listed(), self.changes.position)
 
     def apply_peer_listing(self, listing: UpstreamListing, now_ms: float) -> bool:
         """Apply a peer's list if it is newer; return whether it was applied."""
-        if listing.revision <= self.changes.revision:
+        if listing.position <= self.changes.position:
             return False
         self.apply_listing(listing, now_ms)
         return True
 
     def apply_changes(
-        self, changes: tuple[UpstreamChange, ...], revision: int, now_ms: float
+        self,
+        changes: tuple[UpstreamChange, ...],
+        position: StorePosition,
+        now_ms: float,
     ) -> None:
-        """Apply changes of upstreams from the store or a peer, unless outdated."""
-        if revision < self.changes.revision:
+        """Apply changes of upstreams from the store or a peer, unless outdated.
+
+        Those of another era don't continue the list of this one.
+        """
+        known = self.changes.position
+        if position.era != known.era or position < known:
             return
         for change in changes:
             if change.entry is None:
                 self.upstreams.remove(change.upstream_id, now_ms)
             else:
                 self.upstreams.put(change.entry)
-        self.changes.add(changes, revision)
+        self.changes.add(changes, position)
 
     def is_ready(self, now_ms: float) -> bool:
         """Return whether this router is ready for callers."""
