Hold removals from when the store turns out to be restored

In the test an upstream that had started after the copy was taken lost all requests until it wrote its entry again.

Cause: removals are held for two seconds after an outage that this router has noticed. A restoration that no call ran into, or whose first answer is the list itself, was none.

Change: the first response of a new era starts the hold, before its content is applied.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -306,7 +306,11 @@
             )
 
     def _on_restored(self, former_era: int, era: int) -> None:
-        """Read in full what calls from before the restoration would not return."""
+        """Read in full what calls from before the restoration would not return.
+
+        Upstreams that are missing from the copy have time to register again.
+        """
+        self._view.upstreams.store_recovered(self._clock.now_ms())
         answered = asyncio.current_task()
         for state in self._states.values():
             state.has_lost_history = True
