Hold the removals that the first answer after an outage brings

What callers see: an upstream whose entry expired while the store was away gets no requests until it has registered again, up to two seconds, though it is alive.

Cause: the hold on removals began after the first answer's content was applied.

Change: an answer ends the outage before its content is applied.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -152,8 +152,6 @@
             return position
         if read_to is None:
             return position
-        self._on_call(kind, "answered")
-        self._mark_available(kind)
         await self._pause(kind, read_to.next_at_ms)
         return read_to.position
 
@@ -210,12 +208,14 @@
         sent_at_ms = self._clock.now_ms()
         if position is None and self._may_start_stale(CONFIG):
             reading = await self._store.read_config(allow_stale=True)
+            self._mark_available(CONFIG)
             self._apply_reading(reading)
             return WatchPosition(reading.position)
         if position is None:
             reading = await self._store.read_config()
         else:
             reading = await self._store.watch_config(position, 0.0)
+        self._mark_available(CONFIG)
         self._apply_reading(reading)
         self._view.lease.renew(sent_at_ms)
         self._proof_source.store_read(self._clock.now_ms())
@@ -272,6 +272,7 @@
                 self._may_start_stale(UPSTREAMS) and not self._view.upstreams.is_loaded
             )
             listing = await self._store.list_upstreams(allow_stale=may_be_stale)
+            self._mark_available(UPSTREAMS)
             self._view.apply_listing(listing, self._clock.now_ms())
             self._log_listing(listing, None)
             return WatchPosition(listing.position)
@@ -279,6 +280,7 @@
         after = max(position, self._view.changes.position)
         wait_ms = 0.0 if self._watch_states.is_any_unavailable else UPSTREAM_WAIT_MS
         changes = await self._store.watch_upstreams(after, wait_ms)
+        self._mark_available(UPSTREAMS)
         self.apply_changes(changes.changes, changes.position)
         is_grouped = bool(changes.changes)
         next_at_ms = self._clock.now_ms() + GROUPING_MS if is_grouped else 0.0
@@ -325,6 +327,11 @@
         state.n_failures += 1
 
     def _mark_available(self, kind: str) -> None:
+        """Record that a call was answered, before its content is applied.
+
+        Removals are held after an outage, also those in the first answer.
+        """
+        self._on_call(kind, "answered")
         state = self._states[kind]
         if state.is_unavailable:
             self._view.upstreams.store_recovered(self._clock.now_ms())
