Don't send to upstreams that left when a copy lists them again

What callers see: requests to an upstream that was about to exit, or had; in the tests it was used again at once, and until its entry expired.

Cause: what a list says replaced what was known. A list from a copy shows an upstream as it was before it reported that it leaves, or before its entry was removed.

Change: UpstreamSet remembers the incarnations that left. Lists that are read within 6 s after a restoration don't bring them back: they count as leaving until they register themselves, or are still listed after that time, in which the entry of one that is gone expires. Routers also learn of a restoration from the positions in their peers' messages.

Evidence: the last two failing cases of lists pass (1 and 3 routers); the followers' needed the peers' messages. With the module made to doubt nothing, the 2 of the 12 cases of departed_upstreams_tests that ask for it fail; the others bound what is doubted.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -262,6 +262,7 @@
         log_event(
             "upstreams_listed" if is_applied else "upstreams_declined",
             n_upstreams=len(listing.upstreams),
+            n_doubted=self._view.upstreams.n_doubted,
             position=str(listing.position),
             source=_source_name(peer),
         )
@@ -310,9 +311,10 @@
     def _on_restored(self, former_era: int, era: int) -> None:
         """Read in full what calls from before the restoration would not return.
 
-        Upstreams that are missing from the copy have time to register again.
+        Upstreams that are missing from the copy have time to register again, and those
+        that had left may be listed in it as they were before.
         """
-        self._view.upstreams.store_recovered(self._clock.now_ms())
+        self._view.upstreams.store_restored(self._clock.now_ms())
         answered = asyncio.current_task()
         for state in self._states.values():
             state.has_lost_history = True
--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -13,6 +13,8 @@
     ProofGiven,
     ProofSource,
     RouterEntry,
+    StoreEra,
+    StorePosition,
 )
 from bronzeline_kernel.protocols import Clock
 
@@ -32,12 +34,14 @@
         proof_source: ProofSource,
         watch: DirectoryWatch,
         peers: ForwardingPeers,
+        store_era: StoreEra,
         clock: Clock,
     ) -> None:
         self._view = view
         self._proof_source = proof_source
         self._watch = watch
         self._peers = peers
+        self._store_era = store_era
         self._clock = clock
         self._was_reading_store = True
         self._task: asyncio.Task[None] | None = None
@@ -71,9 +75,15 @@
             log_event("reads_store" if must_read_store else "follows_peer")
         self._was_reading_store = must_read_store
 
+    def _learn_era(self, position: StorePosition) -> None:
+        """Learn of a restoration from a peer that has read a list of upstreams."""
+        if position.revision:
+            self._store_era.observe(position.era)
+
     def _on_proof_asked(self, request: ProofAsked, peer: RouterEntry) -> None:
         now_ms = self._clock.now_ms()
         self._proof_source.heard_from(peer.router_id, now_ms)
+        self._learn_era(request.position)
         age_ms = self._view.lease.age_ms(now_ms)
         if not self._view.upstreams.is_loaded:
             age_ms = float("inf")
@@ -92,6 +102,7 @@
 
     def _on_proof_given(self, proof: ProofGiven, peer: RouterEntry) -> None:
         now_ms = self._clock.now_ms()
+        self._learn_era(proof.position)
         proven_at_ms = self._proof_source.accept_proof(
             proof.number, proof.age_ms, now_ms
         )
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from bronzeline_kernel.forwarding.departed_upstreams import DepartedUpstreams
 from bronzeline_kernel.forwarding.upstream_notices import (
     Incarnation,
     UpstreamNotices,
@@ -66,6 +67,9 @@
         # if it does not list them within REMOVAL_HOLD_MS after the outage.
         self._adopted: set[str] = set()
         self._hold_until_ms = 0.0
+        self._departed = DepartedUpstreams()
+        # Entries from a copy, and until when their upstreams count as leaving.
+        self._doubted: dict[str, tuple[ListedUpstream, float]] = {}
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -79,6 +83,16 @@
         for upstream_id in (*self._removals_due_ms, *self._adopted):
             self._removals_due_ms[upstream_id] = self._hold_until_ms
 
+    def store_restored(self, now_ms: float) -> None:
+        """Hold removals, and doubt what lists say of upstreams that have left."""
+        self.store_recovered(now_ms)
+        self._departed.store_restored(now_ms)
+
+    @property
+    def n_doubted(self) -> int:
+        """Return how many listed upstreams count as leaving, as they had left."""
+        return len(self._doubted)
+
     def away_until_ms_ago(self, now_ms: float) -> float | None:
         """Return the time since the store recovered, None if removals are not held."""
         if now_ms >= self._hold_until_ms:
@@ -92,11 +106,26 @@
         for upstream_id in self._listed.keys() - listed.keys():
             self.remove(upstream_id, now_ms)
         for entry in listed.values():
-            self.put(entry)
+            doubted_until_ms = self._departed.doubted_until_ms(
+                entry.incarnation, now_ms
+            )
+            if doubted_until_ms is None or entry.is_leaving:
+                self.put(entry)
+            else:
+                self._put(replace(entry, is_leaving=True))
+                self._doubted[entry.upstream_id] = entry, doubted_until_ms
 
     def put(self, entry: ListedUpstream) -> None:
-        """Add or update an entry."""
+        """Add or update an entry that its upstream has written."""
+        if entry.is_leaving:
+            self._departed.add(entry.incarnation)
+        else:
+            self._departed.discard(entry.incarnation)
+        self._put(entry)
+
+    def _put(self, entry: ListedUpstream) -> None:
         self._listed[entry.upstream_id] = entry
+        self._doubted.pop(entry.upstream_id, None)
         self._is_index_current = False
         self._removals_due_ms.pop(entry.upstream_id, None)
         self._adopted.discard(entry.upstream_id)
@@ -117,9 +146,15 @@
         if now_ms < self._hold_until_ms:
             self._removals_due_ms.setdefault(upstream_id, self._hold_until_ms)
         else:
-            del self._listed[upstream_id]
-            self._adopted.discard(upstream_id)
-            self._is_index_current = False
+            self._drop(upstream_id)
+
+    def _drop(self, upstream_id: str) -> None:
+        entry = self._listed.pop(upstream_id, None)
+        if entry is not None:
+            self._departed.add(entry.incarnation)
+        self._doubted.pop(upstream_id, None)
+        self._adopted.discard(upstream_id)
+        self._is_index_current = False
 
     def get(self, upstream_id: str) -> ListedUpstream | None:
         """Return an upstream's entry by id."""
@@ -130,9 +165,12 @@
         return any(item.service == service for item in self._listed.values())
 
     def listed(self) -> tuple[ListedUpstream, ...]:
-        """Return the entries listed in the store, without adopted or removed ones."""
+        """Return the entries listed in the store, without adopted or removed ones.
+
+        A peer that knows nothing of an upstream's leaving believes its entry.
+        """
         return tuple(
-            item
+            self._doubted.get(item.upstream_id, (item, 0.0))[0]
             for item in self._listed.values()
             if item.upstream_id not in self._removals_due_ms
             and item.upstream_id not in self._adopted
@@ -161,6 +199,7 @@
         Of entries with the same address, only the one started last is usable.
         """
         self._remove_due(now_ms)
+        self._believe_due(now_ms)
         self._update_index()
         return self._usable.get(service, [])
 
@@ -195,6 +234,10 @@
         for upstream_id, due_ms in list(self._removals_due_ms.items()):
             if now_ms >= due_ms:
                 del self._removals_due_ms[upstream_id]
-                self._listed.pop(upstream_id, None)
-                self._adopted.discard(upstream_id)
-                self._is_index_current = False
+                self._drop(upstream_id)
+
+    def _believe_due(self, now_ms: float) -> None:
+        """Use upstreams that are still listed after their doubted entries."""
+        for entry, due_ms in list(self._doubted.values()):
+            if now_ms >= due_ms:
+                self.put(entry)
