Write the routers' entries again after a restoration

What callers see: nothing at first. The list of routers shrank at its next reading, each router read the store for itself, and one that started then found no peers: it knew neither runs nor losses of the others.

Cause: a router writes its entry once, at its start, and takes each list of routers for complete. The class: what is written once is taken to last.

For 10 s after a restoration a list takes no router away.

--- a/packages/daemon/bronzeline_daemon/forwarding/router_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router_directory.py
@@ -36,6 +36,12 @@
 RETRY_S = 0.75
 # After this many requests without a response the store is read.
 MAX_UNANSWERED = 3
+# After a restoration all routers check their entries, at this rate together. The
+# store takes several hundred writes a second.
+MAX_CHECKS_PER_S = 200.0
+# For this long after a restoration an entry that a list lacks may not be back yet.
+# 1,300 routers write theirs within 6.5 s.
+RETAIN_MS = 10_000.0
 
 
 class RouterDirectory:
@@ -66,6 +72,8 @@
         self._may_get_no_response = True
         self._task: asyncio.Task[None] | None = None
         self._fetches = BackgroundTasks()
+        self._retain_until_ms = float("-inf")
+        store.era.listen(self._on_restored)
         peers.listen(RouterListAsked, self._on_asked)
         peers.listen(RouterListGiven, self._on_given)
 
@@ -75,6 +83,7 @@
 
     def stop(self) -> None:
         """Cancel the background tasks."""
+        self._fetches.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -117,7 +126,25 @@
         self._may_get_no_response = False
         return entries
 
+    def _on_restored(self, former_era: int, era: int) -> None:
+        """Write this router's entry again if the copy lacks it; keep the others."""
+        self._retain_until_ms = self._clock.now_ms() + RETAIN_MS
+        self._fetches.start(self._retry(self._check_entry))
+
+    async def _check_entry(self) -> None:
+        n_routers = len(self._peers.peer_list) + 1
+        await asyncio.sleep(self._random.uniform(0.0, n_routers / MAX_CHECKS_PER_S))
+        own = self._peers.own
+        is_stored = await self._timeout.call(
+            self._store.has_router(own), is_unsure=False
+        )
+        if not is_stored:
+            await self._store.announce_router(own)
+        log_event("router_entry_checked", was_stored=is_stored)
+
     def _replace(self, entries: tuple[RouterEntry, ...]) -> None:
+        if self._clock.now_ms() < self._retain_until_ms:
+            entries = (*self._peers.peer_list.all, *entries)
         if self._peers.peer_list.replace(entries):
             now_ms = self._clock.now_ms()
             self._proof_source.set_peers(self._peers.peer_list.all, now_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -91,6 +91,9 @@
     async def announce_router(self, entry: RouterEntry) -> None:
         """Write the entry of this router."""
 
+    async def has_router(self, entry: RouterEntry) -> bool:
+        """Return whether a router's entry is stored as given."""
+
     async def list_routers(self) -> tuple[RouterEntry, ...]:
         """Return the entries of all routers; they may be some seconds out of date."""
 
