Store long blocks again after a restoration

What callers see: after the loss of all routers, a prompt that ends engines is accepted again.

Change: a new era makes it read them again before the next comparison.

--- a/packages/daemon/bronzeline_daemon/forwarding/block_store.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/block_store.py
@@ -24,21 +24,23 @@
         self._store = store
         self._quarantine = quarantine
         self._timeout = StoreTimeout()
-        # The rounds of the stored blocks by their keys; None before they are read.
-        self._rounds: dict[tuple[str, ...], int] | None = None
+        # The rounds of the stored blocks by their keys, as far as they are known.
+        self._rounds: dict[tuple[str, ...], int] = {}
+        self._must_read = True
         self._retry_due_ms = 0.0
         self._is_unsure = True
+        store.era.listen(lambda former_era, era: self.forget())
 
     def forget(self) -> None:
-        """Read the store again before the next use: another router writes now."""
-        self._rounds = None
+        """Read the store again before the next use: its blocks may have changed."""
+        self._must_read = True
 
     async def synchronize(self, now_ms: float) -> None:
         """Read the stored blocks once; write and delete what has changed since."""
         if now_ms < self._retry_due_ms:
             return
         try:
-            if self._rounds is None:
+            if self._must_read:
                 await self._read(now_ms)
             for block in self._quarantine.blocks.blocks(now_ms):
                 await self._write(block)
@@ -54,13 +56,13 @@
         blocks = await self._timeout.call(
             self._store.list_blocks(), is_unsure=self._is_unsure
         )
+        self._must_read = False
         self._quarantine.learn(blocks, now_ms)
         self._rounds = {item.keys: item.round for item in blocks}
         if blocks:
             log_event("blocks_read", n_blocks=len(blocks))
 
     async def _write(self, block: Block) -> None:
-        assert self._rounds is not None
         is_stored = self._rounds.get(block.keys) == block.round
         if is_stored or not block.is_active or block.remaining_ms < MIN_STORED_MS:
             return
@@ -71,7 +73,6 @@
         log_event("block_stored", keys=",".join(block.keys))
 
     async def _delete_ended(self, now_ms: float) -> None:
-        assert self._rounds is not None
         blocks = self._quarantine.blocks.blocks(now_ms)
         active = {item.keys for item in blocks if item.is_active}
         for keys in [item for item in self._rounds if item not in active]:
