Don't trust keys on the word of a store that lacks the version in force

What callers see: a key that was revoked shortly before the store was restored is accepted for longer than it may be, at every router.

Cause: each answered reading of the configuration renewed the lease on the keys. A copy may lack the newest versions, also one that no router had read. The class: an answer counts as proof of what it does not contain.

Change: a reading renews the lease only if it shows the version in force or a later one, and was sent a second or more after the restoration, when the operator has written again. Peers tell apart how old the proof is and how old their last reading is, so that an unproven configuration does not make each router read the store.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -79,6 +79,8 @@
         self._watch_states = WatchStates(proof_source, random)
         self._states = self._watch_states.by_kind
         self._tasks: list[asyncio.Task[None]] = []
+        # Why the last reading of the configuration proved nothing.
+        self._doubt = ""
         store.era.listen(self._on_restored)
 
     def start(self) -> None:
@@ -217,7 +219,7 @@
             reading = await self._store.watch_config(position, 0.0)
         self._mark_available(CONFIG)
         self._apply_reading(reading)
-        self._view.lease.renew(sent_at_ms)
+        self._log_doubt(self._view.record_reading(sent_at_ms))
         self._proof_source.store_read(self._clock.now_ms())
         interval_ms = self._proof_source.options.poll_interval_ms
         return WatchPosition(reading.position, sent_at_ms + interval_ms)
@@ -238,8 +240,20 @@
 
     def _apply_reading(self, reading: ConfigReading) -> None:
         if reading.config is not None:
+            self._view.stored_config.record(reading.config.version)
             self._apply_config(reading.config)
 
+    def _log_doubt(self, doubt: str) -> None:
+        """Log when readings begin or cease to prove the configuration current."""
+        if doubt != self._doubt:
+            log_event(
+                "configuration_unproven" if doubt else "configuration_proven",
+                reason=doubt,
+                in_force=self._view.version,
+                stored=self._view.stored_config.version,
+            )
+        self._doubt = doubt
+
     def _apply_config(
         self, config: ForwardingConfig, peer: RouterEntry | None = None
     ) -> None:
@@ -314,7 +328,7 @@
         Upstreams that are missing from the copy have time to register again, and those
         that had left may be listed in it as they were before.
         """
-        self._view.upstreams.store_restored(self._clock.now_ms())
+        self._view.store_restored(self._clock.now_ms())
         answered = asyncio.current_task()
         for state in self._states.values():
             state.has_lost_history = True
--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-
 from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.logs import log_event
@@ -63,12 +62,14 @@
             now_ms = self._clock.now_ms()
             request = self._proof_source.next_request(now_ms)
             if request is not None:
-                own_id = self._peers.own.router_id
-                position = self._view.changes.position
-                message = ProofAsked(own_id, request.number, position)
-                self._peers.send_to(message, request.peer)
+                self._ask(request.number, request.peer)
             self._log_role_change(now_ms)
 
+    def _ask(self, number: int, peer: RouterEntry) -> None:
+        view = self._view
+        message = ProofAsked(self._peers.own.router_id, number, view.changes.position)
+        self._peers.send_to(message, peer)
+
     def _log_role_change(self, now_ms: float) -> None:
         must_read_store = self._proof_source.must_read_store(now_ms)
         if must_read_store != self._was_reading_store:
@@ -84,16 +85,17 @@
         now_ms = self._clock.now_ms()
         self._proof_source.heard_from(peer.router_id, now_ms)
         self._learn_era(request.position)
-        age_ms = self._view.lease.age_ms(now_ms)
+        read_age_ms = self._view.read_age_ms(now_ms)
         if not self._view.upstreams.is_loaded:
-            age_ms = float("inf")
+            read_age_ms = float("inf")
         changes = self._view.changes.since(request.position)
         if changes is not None and len(changes) > MAX_CHANGES_AT_ONCE:
             changes = None
         proof = ProofGiven(
             request.number,
             self._view.version,
-            age_ms,
+            self._view.lease.age_ms(now_ms),
+            read_age_ms,
             self._view.changes.position,
             changes,
             self._view.upstreams.away_until_ms_ago(now_ms),
@@ -103,15 +105,16 @@
     def _on_proof_given(self, proof: ProofGiven, peer: RouterEntry) -> None:
         now_ms = self._clock.now_ms()
         self._learn_era(proof.position)
-        proven_at_ms = self._proof_source.accept_proof(
-            proof.number, proof.age_ms, now_ms
+        read_at_ms = self._proof_source.accept_proof(
+            proof.number, proof.read_age_ms, now_ms
         )
-        if proven_at_ms is None:
+        if read_at_ms is None:
             return
+        self._view.record_contact(read_at_ms)
         if proof.config_version > self._view.version:
             self._watch.fetch_config_from(peer)
         elif proof.config_version == self._view.version:
-            self._view.lease.renew(proven_at_ms)
+            self._view.lease.renew(read_at_ms + proof.read_age_ms - proof.age_ms)
         if proof.away_until_ms_ago is not None:
             recovered_at_ms = now_ms - proof.away_until_ms_ago
             self._view.upstreams.store_recovered(recovered_at_ms)
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -85,7 +85,12 @@
             self.service.metrics.store_called,
         )
         self.proofs = ProofExchange(
-            self.view, self.source, self.watch, peers, store.era, self.clock
+            self.view,
+            self.source,
+            self.watch,
+            peers,
+            store.era,
+            self.clock,
         )
         self.directory = RouterDirectory(
             store, peers, self.source, self.documents, self.clock, self.random
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -151,6 +151,8 @@
 class ProofGiven:
     """Report to a peer how current this router's data is.
 
+    `age_ms` is the age of the proof that the configuration is current, `read_age_ms`
+    that of the last reading of the store, which may have proven nothing.
     `changes` is None if the peer must read the whole list of upstreams itself.
     `away_until_ms_ago` is the time since the store became reachable again; None
     if there was no recent outage.
@@ -159,6 +161,7 @@
     number: int
     config_version: int
     age_ms: float
+    read_age_ms: float
     position: StorePosition
     changes: tuple[UpstreamChange, ...] | None
     away_until_ms_ago: float | None
--- a/packages/kernel/bronzeline_kernel/forwarding/view.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/view.py
@@ -8,6 +8,7 @@
 from bronzeline_kernel.forwarding.protocols import UpstreamListing
 from bronzeline_kernel.forwarding.route_table import RouteTable
 from bronzeline_kernel.forwarding.store_position import StorePosition
+from bronzeline_kernel.forwarding.stored_config import StoredConfig
 from bronzeline_kernel.forwarding.upstream_set import UpstreamSet
 
 __all__ = ["ForwardingView"]
@@ -24,6 +25,8 @@
         self.upstreams = UpstreamSet()
         self.changes = ChangeLog()
         self.table: RouteTable | None = None
+        self.stored_config = StoredConfig()
+        self._read_at_ms = float("-inf")
 
     @property
     def version(self) -> int:
@@ -37,6 +40,30 @@
         self.table = RouteTable(config)
         return True
 
+    def store_restored(self, now_ms: float) -> None:
+        """Doubt what the store says until what the copy lacks is written again."""
+        self.upstreams.store_restored(now_ms)
+        self.stored_config.store_restored(now_ms)
+
+    def record_reading(self, sent_at_ms: float) -> str:
+        """Record that this router read the configuration, and renew the lease.
+
+        Returns why the reading proves nothing, an empty string if it does.
+        """
+        self.record_contact(sent_at_ms)
+        doubt = self.stored_config.find_doubt(self.version, sent_at_ms)
+        if not doubt:
+            self.lease.renew(sent_at_ms)
+        return doubt
+
+    def record_contact(self, read_at_ms: float) -> None:
+        """Record when this router, or the one that it follows, read the store."""
+        self._read_at_ms = max(self._read_at_ms, read_at_ms)
+
+    def read_age_ms(self, now_ms: float) -> float:
+        """Return the time since the store was read, infinity if it never was."""
+        return now_ms - self._read_at_ms
+
     def apply_listing(self, listing: UpstreamListing, now_ms: float) -> None:
         """Replace the list of upstreams."""
         self.upstreams.replace_all(listing.upstreams, now_ms)
