Let the root compare its version with a peer's

What callers see: a configuration that was in force comes back older at a router that started while the store lacked the newest version, and at those that start after it.

Cause: the root of the tree of routers learns versions from the store alone; its followers know the newer one, but tell only those that ask them.

Change: routers name their version when they ask, and the root asks one peer a second. Who hears of a newer version fetches it: no router ever goes back.

--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -91,6 +91,7 @@
             peers,
             store.era,
             self.clock,
+            self.random,
         )
         self.directory = RouterDirectory(
             store, peers, self.source, self.documents, self.clock, self.random
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -139,12 +139,14 @@
 class ProofAsked:
     """Request proof of how current a peer is, and the upstream changes it knows.
 
-    `position` is that of the sender's list of upstreams.
+    `position` is that of the sender's list of upstreams, `config_version` that of its
+    configuration.
     """
 
     router_id: str
     number: int
     position: StorePosition
+    config_version: int
 
 
 @dataclass(frozen=True)
