Log the software versions that a stream runs at

Cause: entries' version and a caller's Resumes were read nowhere, so no line told whether a stream had changed its version, or which request it takes up.

Change: both are read, and logged in attempt_sent (also the copy's version) and upstream_changed. Nothing acts on them yet.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -23,10 +23,13 @@
     return {
         "number": action.number,
         "upstream_id": action.upstream.upstream_id,
+        "version": action.upstream.version,
         "budget_ms": round(action.budget_ms),
         "after_event": action.after_event,
         "copy_from": _id_of(action.copy_from.keeper if action.copy_from else None),
         "copy_to": _id_of(action.copy_to),
+        "copy_version": action.copy_to.version if action.copy_to else "",
+        "resumes": request.resumes_id,
         "budget_left": round(n_retries_left, 1),
         **_choice_fields(action.choice),
         **_part_fields(request),
--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -319,6 +319,7 @@
                 "upstream_changed",
                 upstream_id=change.upstream_id,
                 state="gone" if entry is None else _state_name(entry.is_leaving),
+                version="" if entry is None else entry.version,
                 position=str(position),
             )
 
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -41,6 +41,8 @@
     headers: tuple[Header, ...]
     body: bytes = b""
     after_event: int = 0
+    # Id of the caller's request that got the first event of the stream, if named.
+    resumes_id: str = ""
     n_prompt_tokens: int = 0
     prompt_parts: str = ""
     # Id of the part of the prompt that is not shared with other requests.
@@ -53,6 +55,11 @@
         """Return the target without its query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        return self.after_event > 0 or bool(self.resumes_id)
+
     def with_body(self, body: bytes) -> CallerRequest:
         """Return a copy of the request with this body."""
         return replace(self, body=body)
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -33,6 +33,8 @@
     is_leaving: bool
     n_slots: int
     started_at_ms: int = 0
+    # Of its software; empty if it is not known.
+    version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
@@ -21,7 +21,15 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 
 
-def upstream(name, zone="zone-a", service=ENGINES, leaving=False, started=1, port=None):
+def upstream(
+    name,
+    zone="zone-a",
+    service=ENGINES,
+    leaving=False,
+    started=1,
+    port=None,
+    version="v1",
+):
     return ListedUpstream(
         upstream_id=name,
         service=service,
@@ -31,6 +39,7 @@
         is_leaving=leaving,
         n_slots=8,
         started_at_ms=started,
+        version=version,
     )
 
 
