Keep a stream at the software version that began it

Cause: an entry's version and a caller's Resumes were read nowhere. A return to another router, a resend after a crash, the place of a copy and moved memory were chosen by load alone, and after the loss of a router nobody knew where a stream had begun. The class: a choice among things that are taken for equal, as their difference is not read.

Change: StreamBinding decides where a stream may go on, and every way asks it. The first event that the caller gets binds the stream to its upstream's version. For a stream that is taken up the version is proven by a router's record of that event (sent to five peers while a service has several versions), by the service having had one version only for a minute (kept in the store for the loss of all routers), or by the engines that still keep the caller's events and not just the prompt. Without proof, or once the version has left, the answer is final at once: 503 without a time to come back, or the connection is closed before the end. Copies are placed at the run's version. An engine that is adopted while the store is away has an unknown version.

Tests that replaced a run's route set it at its binding.

--- a/packages/daemon/bronzeline_daemon/forwarding/engine_adopter.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/engine_adopter.py
@@ -73,7 +73,7 @@
             self._adopt(message.entry, "peer")
 
     def _adopt(self, entry: ListedUpstream, source: str) -> None:
-        if self._view.upstreams.adopt(entry):
+        if self._view.adopt(entry, self._clock.now_ms()):
             log_event(
                 "upstream_adopted",
                 upstream_id=entry.upstream_id,
--- /dev/null
+++ b/packages/daemon/bronzeline_daemon/forwarding/origin_exchange.py
@@ -0,0 +1,86 @@
+"""Exchange with peers where the streams began that callers may take up."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bronzeline_daemon.forwarding.peers import ForwardingPeers
+from bronzeline_kernel.forwarding import (
+    OriginAsked,
+    OriginUnknown,
+    RouterEntry,
+    StreamOrigin,
+    StreamOrigins,
+)
+from bronzeline_kernel.protocols import Clock
+
+__all__ = ["OriginExchange"]
+
+# Peers in other regions answer within 40 ms unless they have failed.
+FIND_TIMEOUT_S = 0.08
+
+
+@dataclass
+class Lookup:
+    """Count the peers that have not answered yet."""
+
+    n_pending: int
+    is_done: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class OriginExchange:
+    """Record streams' origins at peers, and ask them."""
+
+    def __init__(
+        self, peers: ForwardingPeers, origins: StreamOrigins, clock: Clock
+    ) -> None:
+        self._peers = peers
+        self._origins = origins
+        self._clock = clock
+        self._lookups: dict[str, Lookup] = {}
+        peers.listen(StreamOrigin, self._on_origin)
+        peers.listen(OriginAsked, self._on_asked)
+        peers.listen(OriginUnknown, self._on_unknown)
+
+    def share(self, origin: StreamOrigin) -> None:
+        """Send an origin to the peers that callers' next requests will ask."""
+        for peer in self._peers.peer_list.origin_holders(origin.request_hash):
+            self._peers.send_to(origin, peer)
+
+    async def find(self, request_id: str, request_hash: str) -> None:
+        """Ask peers; wait until one knows, all have answered or 80 ms have passed."""
+        holders = self._peers.peer_list.origin_holders(request_hash)
+        if not holders or request_hash in self._lookups:
+            return
+        lookup = self._lookups[request_hash] = Lookup(len(holders))
+        for peer in holders:
+            self._peers.send_to(OriginAsked(request_id, request_hash), peer)
+        try:
+            async with asyncio.timeout(FIND_TIMEOUT_S):
+                await lookup.is_done.wait()
+        except TimeoutError:
+            # Some holders may have failed; what the others know is recorded.
+            pass
+        finally:
+            del self._lookups[request_hash]
+
+    def _on_asked(self, asked: OriginAsked, peer: RouterEntry) -> None:
+        origin = self._origins.find(
+            asked.request_id, asked.request_hash, self._clock.now_ms()
+        )
+        self._peers.send_to(origin or OriginUnknown(asked.request_hash), peer)
+
+    def _on_origin(self, origin: StreamOrigin, peer: RouterEntry) -> None:
+        self._origins.put(origin, self._clock.now_ms())
+        lookup = self._lookups.get(origin.request_hash)
+        if lookup is not None:
+            lookup.is_done.set()
+
+    def _on_unknown(self, unknown: OriginUnknown, peer: RouterEntry) -> None:
+        lookup = self._lookups.get(unknown.request_hash)
+        if lookup is None:
+            return
+        lookup.n_pending -= 1
+        if not lookup.n_pending:
+            lookup.is_done.set()
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -129,7 +129,7 @@
                     self.context.run_copier.drop(copy)
                 case FindEarlierRun(upstreams):
                     self.context.earlier_runs.find(
-                        self.request.request_id,
+                        self.request,
                         self._request_hash,
                         upstreams,
                         self.on_earlier_run_search_ended,
@@ -186,6 +186,10 @@
         """Return the shared parts of a prompt that no upstream has answered yet."""
         return ()
 
+    def attempt_fields(self) -> dict[str, object]:
+        """Return further fields of the line on an attempt."""
+        return {}
+
     def silent_ms(self) -> int:
         """Return the time since the caller's last event, in milliseconds."""
         return round(self.now_ms() - (self._event_at_ms or self._started_at_ms))
@@ -221,6 +225,7 @@
         self._log.info(
             "attempt_sent",
             **attempt_fields(self.request, action, self._machine.budget.n_left),
+            **self.attempt_fields(),
         )
         attempt.start()
 
@@ -298,7 +303,7 @@
             self.response.abort()
         else:
             headers = []
-            if action.failure is Failure.NOT_RUN:
+            if action.failure is Failure.NOT_RUN and action.retry_after_ms:
                 headers = self.context.wire.refusal_headers(action.retry_after_ms)
             self.response.send(status, headers)
         self._report_end(action.failure.value, action.reason)
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -9,6 +9,7 @@
 from bronzeline_daemon.forwarding.connection_pool import ConnectionPool
 from bronzeline_daemon.forwarding.earlier_run_finder import EarlierRunFinder
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
+from bronzeline_daemon.forwarding.origin_exchange import OriginExchange
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
 from bronzeline_daemon.forwarding.run_copier import RunCopier
@@ -20,6 +21,7 @@
     ListedUpstream,
     Quarantine,
     ResponseHead,
+    ServiceVersions,
     WireFormat,
 )
 from bronzeline_kernel.protocols import Clock
@@ -71,6 +73,8 @@
     run_copier: RunCopier
     earlier_runs: EarlierRunFinder
     peers: ForwardingPeers
+    origins: OriginExchange
+    versions: ServiceVersions
     quarantine: Quarantine
     logs: LogLimiter
     metrics: ForwardingMetrics
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -20,6 +20,7 @@
 from bronzeline_daemon.forwarding.proof_exchange import ProofExchange
 from bronzeline_daemon.forwarding.router_directory import RouterDirectory
 from bronzeline_daemon.forwarding.service import ForwardingService
+from bronzeline_daemon.forwarding.version_directory import VersionDirectory
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.forwarding import (
     DirectoryStore,
@@ -104,6 +105,9 @@
             self.clock,
             self.random,
         )
+        self.versions = VersionDirectory(
+            store, self.view.upstreams.versions, self.source, self.clock
+        )
         self._store = store
         store.era.listen(_log_restored)
         self._add_gauges()
@@ -128,6 +132,7 @@
         self.proofs.start()
         self.directory.start()
         self.blocks.start()
+        self.versions.start()
         for server, address in (
             (self._readiness, self.settings.readiness),
             (self.frontend.server, self.settings.callers),
@@ -164,6 +169,7 @@
         self.proofs.stop()
         self.directory.stop()
         self.blocks.stop()
+        self.versions.stop()
         self.service.peers.stop()
         self.documents.stop()
         for server in (self.frontend.server, self._readiness, self._metrics_server):
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -12,6 +12,7 @@
 from bronzeline_daemon.forwarding.engine_adopter import EngineAdopter
 from bronzeline_daemon.forwarding.event_log import EventLog
 from bronzeline_daemon.forwarding.metrics import ForwardingMetrics
+from bronzeline_daemon.forwarding.origin_exchange import OriginExchange
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.prober import Prober
 from bronzeline_daemon.forwarding.prompt_list_reader import PromptListReader
@@ -39,6 +40,8 @@
     ResponseLimits,
     RunDirectory,
     StopPlan,
+    StreamBinding,
+    StreamOrigins,
     StreamRun,
     UpstreamHealth,
     UpstreamNotice,
@@ -90,6 +93,8 @@
         self.peers = ForwardingPeers(
             settings, self.placement, self._runs, self.quarantine, clock, random
         )
+        self._origins = StreamOrigins()
+        origin_exchange = OriginExchange(self.peers, self._origins, clock)
         self._engine_adopter = EngineAdopter(view, engines, self.peers, clock)
         self._budgets = BudgetShare(settings.retry_ratio, settings.n_retry_reserve)
         self.n_running = 0
@@ -110,9 +115,13 @@
             Prober(),
             RunCopier(engines),
             EarlierRunFinder(
-                self.peers, PromptListReader(engines, self.placement.prompts, clock)
+                self.peers,
+                origin_exchange,
+                PromptListReader(engines, self.placement.prompts, clock),
             ),
             self.peers,
+            origin_exchange,
+            view.upstreams.versions,
             self.quarantine,
             self._logs,
             self.metrics,
@@ -208,9 +217,16 @@
         deadline_ms = now_ms + allowed_ms
         self.n_running += 1
         if route.kind is WorkKind.STREAM:
-            stream = StreamRun(
+            binding = StreamBinding(
                 request,
                 route,
+                hash_of_request,
+                self._view.upstreams,
+                self.placement.prompts,
+                self._origins,
+            )
+            stream = StreamRun(
+                binding,
                 service,
                 self.placement,
                 budget,
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -26,6 +26,8 @@
 
 # Peers expire a record after 5 s, and datagrams may be lost.
 SHARE_INTERVAL_MS = 1_500.0
+# Datagrams may be lost, and peers may have restarted.
+SHARE_ORIGIN_INTERVAL_MS = 3_000.0
 # An event holds a few tokens.
 MAX_EVENT_BYTES = 64 * 1024
 MAX_EVENTS_AT_ONCE = 32
@@ -48,6 +50,7 @@
     ) -> None:
         super().__init__(context, run, request, workspace, response, hash_of_request)
         self._run = run
+        run.binding.on_began = lambda origin: self._share_origin(self.now_ms())
         self._splitters: dict[int, EventSplitter] = {}
         self._failed: set[int] = set()
         self._n_repeated_events = 0
@@ -57,6 +60,7 @@
         self._seen_events: dict[int, int] = {}
         self._shared_copy: CopySource | None = None
         self._shared_at_ms = 0.0
+        self._origin_due_ms = 0.0
 
     def on_head(self, number: int, head: ResponseHead) -> None:
         """Start the caller's response if the head shows success."""
@@ -140,6 +144,7 @@
         Nothing tells whether the caller has such an event already.
         """
         if self._is_own(number):
+            self._run.bind(number, self.now_ms())
             self.response.write(event)
             return True
         return is_comment(event)
@@ -176,6 +181,11 @@
         assert head is not None
         self.response.send(head.status, head.headers, self.pop_buffer(number))
 
+    def attempt_fields(self) -> dict[str, object]:
+        """Return by what the version is known of a stream that is taken up."""
+        is_taken_up = self.request.is_taken_up
+        return {"proof": self._run.binding.proof.value} if is_taken_up else {}
+
     def n_events(self, number: int) -> int:
         """Return how many events the caller got from an attempt."""
         return self._run.n_events(number)
@@ -186,6 +196,7 @@
 
     def after_tick(self, now_ms: float) -> None:
         """Report a new copy to peers, and again before they expire it."""
+        self._share_origin(now_ms)
         copy = self._run.copy(now_ms)
         if copy is None:
             return
@@ -202,6 +213,16 @@
             )
         )
 
+    def _share_origin(self, now_ms: float) -> None:
+        """Record at peers where the stream began, if it may not go on everywhere."""
+        origin = self._run.binding.origin
+        if origin is None or now_ms < self._origin_due_ms:
+            return
+        if self.context.versions.only(origin.service, now_ms):
+            return
+        self._origin_due_ms = now_ms + SHARE_ORIGIN_INTERVAL_MS
+        self.context.origins.share(origin)
+
     def after_end(self) -> None:
         """Report to peers the end of a run whose response is complete."""
         if self._shared_copy is not None and not self.response.is_incomplete:
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -121,13 +121,24 @@
     RunRecord,
     request_hash,
 )
+from bronzeline_kernel.forwarding.service_versions import (
+    ServiceVersions,
+    VersionRecord,
+)
 from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
 from bronzeline_kernel.forwarding.stop_plan import StopPlan
 from bronzeline_kernel.forwarding.store_era import StoreEra
 from bronzeline_kernel.forwarding.store_position import StorePosition
+from bronzeline_kernel.forwarding.stream_binding import StreamBinding, VersionProof
 from bronzeline_kernel.forwarding.stream_end import StreamEnd
 from bronzeline_kernel.forwarding.stream_limits import StreamLimits, stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
+from bronzeline_kernel.forwarding.stream_origins import (
+    OriginAsked,
+    OriginUnknown,
+    StreamOrigin,
+    StreamOrigins,
+)
 from bronzeline_kernel.forwarding.stream_run import StreamRun
 from bronzeline_kernel.forwarding.upstream_limits import (
     LimitChange,
@@ -200,6 +211,8 @@
     "LoadReport",
     "Notice",
     "NoticeChange",
+    "OriginAsked",
+    "OriginUnknown",
     "PartBlame",
     "PartBlameOptions",
     "PartsAnswered",
@@ -240,13 +253,17 @@
     "Send",
     "ServiceInfo",
     "ServiceShare",
+    "ServiceVersions",
     "SocketAddress",
     "StopPlan",
     "StoreEra",
     "StorePosition",
+    "StreamBinding",
     "StreamEnd",
     "StreamLimits",
     "StreamOptions",
+    "StreamOrigin",
+    "StreamOrigins",
     "StreamRun",
     "UpstreamAdopted",
     "UpstreamChange",
@@ -261,6 +278,8 @@
     "UpstreamReplaced",
     "UpstreamResting",
     "UpstreamSet",
+    "VersionProof",
+    "VersionRecord",
     "WireFormat",
     "WorkKind",
     "WorkspaceKeys",
--- a/packages/kernel/bronzeline_kernel/forwarding/adoption.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/adoption.py
@@ -71,4 +71,6 @@
             upstream_id=identity.upstream_id,
             started_at_ms=started_at_ms,
             is_leaving=False,
+            # It may run other software than the former one.
+            version="",
         )
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -47,6 +47,7 @@
     prompt_parts: str = ""
     # Id of the part of the prompt that is not shared with other requests.
     unique_part_id: str = ""
+    n_unique_tokens: int = 0
     # Ids of the parts before it, which other requests may share.
     shared_part_ids: tuple[str, ...] = ()
 
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_list.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_list.py
@@ -15,6 +15,9 @@
 # Number of routers of a zone that hold the record of a run, chosen by the run's
 # hash: one of them may be lost together with the router that handles the run.
 N_RUN_HOLDERS = 3
+# Number of routers, of any zone, that hold the record of where a stream began. The
+# caller may come back in another zone, and several routers may be lost at once.
+N_ORIGIN_HOLDERS = 5
 
 
 class PeerList:
@@ -31,6 +34,7 @@
         # The zone's routers ordered by the hash of their id (consistent hashing),
         # so that all routers choose nearly the same ones for a run.
         self._ring: list[tuple[int, RouterEntry]] = []
+        self._ring_of_all: list[tuple[int, RouterEntry]] = []
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -66,8 +70,8 @@
         self._by_address = {(item.host, item.peer_port): item for item in peers}
         self.in_zone = tuple(x for x in peers if x.availability_zone == zone)
         self.in_other_zones = tuple(x for x in peers if x.availability_zone != zone)
-        ring = [(crc32(item.router_id.encode()), item) for item in self.in_zone]
-        self._ring = sorted(ring, key=lambda item: item[0])
+        self._ring = _ring(self.in_zone)
+        self._ring_of_all = _ring(self.all)
 
     def get(self, router_id: str) -> RouterEntry | None:
         """Return the peer with this id."""
@@ -79,9 +83,24 @@
 
     def run_holders(self, request_hash: str) -> list[RouterEntry]:
         """Return the peers in this zone that hold the record of a run."""
-        start = bisect(self._ring, crc32(request_hash.encode()), key=lambda x: x[0])
-        following = chain(self._ring[start:], self._ring[:start])
-        return [item for _, item in islice(following, N_RUN_HOLDERS)]
+        return _following(self._ring, request_hash, N_RUN_HOLDERS)
+
+    def origin_holders(self, request_hash: str) -> list[RouterEntry]:
+        """Return the peers of all zones that hold where a stream began."""
+        return _following(self._ring_of_all, request_hash, N_ORIGIN_HOLDERS)
+
+
+def _ring(routers: Iterable[RouterEntry]) -> list[tuple[int, RouterEntry]]:
+    ring = [(crc32(item.router_id.encode()), item) for item in routers]
+    return sorted(ring, key=lambda item: item[0])
+
+
+def _following(
+    ring: list[tuple[int, RouterEntry]], request_hash: str, count: int
+) -> list[RouterEntry]:
+    start = bisect(ring, crc32(request_hash.encode()), key=lambda x: x[0])
+    following = chain(ring[start:], ring[:start])
+    return [item for _, item in islice(following, count)]
 
 
 def _digest(routers: Iterable[RouterEntry]) -> int:
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -30,6 +30,7 @@
 
 _CostFunction = Callable[[ListedUpstream], float]
 _RoomFunction = Callable[[ListedUpstream, float], bool]
+_MayRunFunction = Callable[[ListedUpstream], bool]
 
 
 @dataclass(frozen=True)
@@ -146,10 +147,12 @@
         prompt: Prompt | None = None,
         *,
         is_resumed: bool = False,
+        may_run: _MayRunFunction | None = None,
     ) -> Choice | None:
         """Choose the upstream for a stream, preferring one that cached its prompt.
 
-        A resumed stream may be sent a little ahead of an upstream's limit.
+        A resumed stream may be sent a little ahead of an upstream's limit. Without
+        `may_run` it may run at any upstream.
         """
         peers = self._peer_reports.total(now_ms)
         prompt_ms = self.pace(service).usual_prompt_ms
@@ -165,7 +168,11 @@
 
         permission = self.permission
         has_room = permission.has_room_ahead if is_resumed else permission.has_room
-        return self._cheapest(service, now_ms, exclude, cost, has_room, peers.age_ms)
+        candidates = self._sample(service, now_ms)
+        if may_run is not None:
+            usable = self.upstreams.usable(service, now_ms)
+            candidates = self._shorten([item for item in usable if may_run(item)])
+        return self._cheapest(candidates, now_ms, exclude, cost, has_room, peers.age_ms)
 
     def prompt_list_candidates(
         self, service: str, now_ms: float
@@ -184,7 +191,7 @@
     ) -> Choice | None:
         """Choose the upstream for a short call."""
         return self._cheapest(
-            service,
+            self._sample(service, now_ms),
             now_ms,
             exclude,
             lambda item: self._call_cost(item, now_ms),
@@ -194,11 +201,13 @@
     def choose_for_copy(
         self, primary: ListedUpstream, now_ms: float
     ) -> ListedUpstream | None:
-        """Choose the keeper of a stream's copy, in another zone if possible."""
-        usable = self._sample(primary.service, now_ms)
+        """Choose the holder of a stream's copy, in another zone if possible.
+
+        The stream can go on from it only at the same software version.
+        """
         others = [
             item
-            for item in usable
+            for item in self._sample_version(primary, now_ms)
             if item.address != primary.address
             and self.permission.may_call(item, now_ms)
             and not self.health.is_avoided(item.incarnation, now_ms)
@@ -239,14 +248,13 @@
 
     def _cheapest(
         self,
-        service: str,
+        candidates: Sequence[ListedUpstream],
         now_ms: float,
         exclude: Collection[Incarnation],
         cost: _CostFunction,
         has_room: _RoomFunction,
         reports_age_ms: float | None = None,
     ) -> Choice | None:
-        candidates = self._sample(service, now_ms)
         usable = [
             item
             for item in candidates
@@ -259,6 +267,26 @@
         ]
         return self._pick(healthy or usable, cost, now_ms, reports_age_ms)
 
+    def _sample_version(
+        self, upstream: ListedUpstream, now_ms: float
+    ) -> list[ListedUpstream]:
+        """Return usable upstreams of an upstream's version, if that is known."""
+        if not upstream.version:
+            return []
+        sample = self._sample(upstream.service, now_ms)
+        found = [item for item in sample if item.version == upstream.version]
+        if len(found) > 1:
+            return found
+        usable = self.upstreams.usable(upstream.service, now_ms)
+        return self._shorten([x for x in usable if x.version == upstream.version])
+
+    def _shorten(self, upstreams: list[ListedUpstream]) -> list[ListedUpstream]:
+        """Return a random sample if there are too many upstreams to compare."""
+        n_compared = self.options.max_own_zone + self.options.max_other_zones
+        if len(upstreams) <= n_compared:
+            return upstreams
+        return self.random.sample(upstreams, n_compared)
+
     def _sample(self, service: str, now_ms: float) -> list[ListedUpstream]:
         """Return a sample of the usable upstreams, half of it in this router's zone.
 
--- a/packages/kernel/bronzeline_kernel/forwarding/prompt_index.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/prompt_index.py
@@ -54,6 +54,13 @@
         item = self._lists.get(upstream)
         return item is not None and _is_fresh(item, now_ms)
 
+    def n_tokens(self, upstream: Incarnation, part_id: str, now_ms: float) -> int:
+        """Return how many tokens of a part an upstream has cached, 0 if unknown."""
+        item = self._lists.get(upstream)
+        if item is None or not _is_fresh(item, now_ms):
+            return 0
+        return item.tokens.get(part_id, 0)
+
     def cached_share(
         self, upstream: Incarnation, prompt: Prompt, now_ms: float
     ) -> float:
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -17,6 +17,7 @@
     Send,
 )
 from bronzeline_kernel.forwarding.peer_messages import RouterEntry
+from bronzeline_kernel.forwarding.service_versions import VersionRecord
 from bronzeline_kernel.forwarding.store_era import StoreEra
 from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.upstream_notices import NO_NOTICE, UpstreamNotice
@@ -106,6 +107,12 @@
     async def delete_block(self, keys: tuple[str, ...]) -> None:
         """Delete the block of these keys, if there is one."""
 
+    async def list_versions(self) -> tuple[VersionRecord, ...]:
+        """Return the stored versions of each service; they may be out of date."""
+
+    async def write_versions(self, record: VersionRecord) -> None:
+        """Write the versions of a service, also over earlier ones."""
+
     def close(self) -> None:
         """Close the connections to the store."""
 
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
@@ -0,0 +1,150 @@
+"""Keep a stream at the software version that began it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from bronzeline_kernel.forwarding.config import Route
+from bronzeline_kernel.forwarding.messages import CallerRequest
+from bronzeline_kernel.forwarding.prompt_index import PromptIndex
+from bronzeline_kernel.forwarding.stream_origins import StreamOrigin, StreamOrigins
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
+
+__all__ = ["StreamBinding", "VersionProof"]
+
+
+class VersionProof(Enum):
+    """Classify by what the version of a stream is known."""
+
+    NONE = "none"
+    # This router passed on the first event.
+    OWN = "own"
+    # A router recorded where the first event came from.
+    RECORD = "record"
+    # The service has had no other version for as long as a stream may last.
+    ONLY_VERSION = "only_version"
+    # The engines that keep events of the stream all have this version.
+    PROMPT_LIST = "prompt_list"
+
+
+@dataclass
+class StreamBinding:
+    """Decide at which upstreams a stream may go on; every way to go on asks here.
+
+    What two versions write does not fit together. A stream of which the caller has no
+    event may begin at any version.
+    """
+
+    request: CallerRequest
+    route: Route
+    request_hash: str
+    upstreams: UpstreamSet
+    prompts: PromptIndex
+    origins: StreamOrigins = field(default_factory=StreamOrigins)
+    # Called with the origin once the caller has the first event.
+    on_began: Callable[[StreamOrigin], None] = lambda origin: None
+    origin: StreamOrigin | None = None
+    proof: VersionProof = VersionProof.NONE
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the stream may begin at any version."""
+        return self.origin is None and not self.request.is_taken_up
+
+    @property
+    def is_unproven(self) -> bool:
+        """Return whether the caller has events of a version that is not known."""
+        return self.origin is None and self.request.is_taken_up
+
+    def began(self, upstream: ListedUpstream, now_ms: float) -> None:
+        """Bind the stream to the upstream that made the caller's first event."""
+        if not self.is_open:
+            return
+        self.proof = VersionProof.OWN
+        self.origin = StreamOrigin(
+            self.request.request_id,
+            self.request_hash,
+            upstream.service,
+            upstream.version,
+            upstream.upstream_id,
+            upstream.started_at_ms,
+        )
+        self.origins.put(self.origin, now_ms)
+        self.on_began(self.origin)
+
+    def resolve(self, service: str, now_ms: float) -> None:
+        """Find out at which version a stream that is taken up began."""
+        if not self.is_unproven:
+            return
+        self.origin = self._find_record(now_ms)
+        if self.origin is not None:
+            self.proof = VersionProof.RECORD
+            self.origins.put(self.origin, now_ms)
+            return
+        version = self._only_version(service, now_ms)
+        proof = VersionProof.ONLY_VERSION
+        if not version:
+            version = self._listed_version(service, now_ms)
+            proof = VersionProof.PROMPT_LIST
+        if version:
+            self.proof = proof
+            self.origin = StreamOrigin(
+                self.request.resumes_id, self.request_hash, service, version
+            )
+
+    def allows(self, upstream: ListedUpstream) -> bool:
+        """Return whether the stream may run at an upstream."""
+        origin = self.origin
+        if origin is None:
+            return self.is_open
+        if upstream.service != origin.service:
+            return False
+        if upstream.incarnation == origin.incarnation:
+            return True
+        version = origin.version or self._version_of_origin(origin)
+        return bool(version) and upstream.version == version
+
+    def _version_of_origin(self, origin: StreamOrigin) -> str:
+        """Return a version that was not known when the stream began."""
+        listed = self.upstreams.get(origin.upstream_id)
+        if listed is None or listed.incarnation != origin.incarnation:
+            return ""
+        return listed.version
+
+    def _find_record(self, now_ms: float) -> StreamOrigin | None:
+        origin = self.origins.find(self.request.resumes_id, self.request_hash, now_ms)
+        if origin is None:
+            return None
+        is_of_route = any(item.service == origin.service for item in self.route.shares)
+        return origin if is_of_route else None
+
+    def _only_version(self, service: str, now_ms: float) -> str:
+        """Return the only version of the only service that may have begun it."""
+        if len(self.route.shares) > 1:
+            return ""
+        return self.upstreams.versions.only(service, now_ms)
+
+    def _listed_version(self, service: str, now_ms: float) -> str:
+        """Return the version of all engines that keep the caller's events.
+
+        A prompt alone proves nothing: it may have been read for an attempt that was
+        replaced before its first event.
+        """
+        request = self.request
+        if not request.unique_part_id or not request.after_event:
+            return ""
+        versions = {
+            item.version
+            for item in self.upstreams.usable(service, now_ms)
+            if self._n_generated_tokens(item, now_ms) >= request.after_event
+        }
+        return next(iter(versions)) if len(versions) == 1 else ""
+
+    def _n_generated_tokens(self, upstream: ListedUpstream, now_ms: float) -> int:
+        """Return how many tokens of the answer an engine keeps; an event has some."""
+        n_kept = self.prompts.n_tokens(
+            upstream.incarnation, self.request.unique_part_id, now_ms
+        )
+        return n_kept - self.request.n_unique_tokens if n_kept else 0
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -25,6 +25,7 @@
 from bronzeline_kernel.forwarding.placement import Choice, Placement
 from bronzeline_kernel.forwarding.prompt_index import Prompt
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
+from bronzeline_kernel.forwarding.stream_binding import StreamBinding
 from bronzeline_kernel.forwarding.stream_copies import StreamCopies
 from bronzeline_kernel.forwarding.stream_evidence import StreamEvidence
 from bronzeline_kernel.forwarding.stream_limits import stream_limits
@@ -42,8 +43,7 @@
 class StreamRun:
     """Decide where a stream runs, and where it resumes when its upstream is lost."""
 
-    request: CallerRequest
-    route: Route
+    binding: StreamBinding
     service: str
     placement: Placement
     budget: RetryBudget
@@ -71,6 +71,16 @@
     def __post_init__(self) -> None:
         self.last_event = self.request.after_event
 
+    @property
+    def request(self) -> CallerRequest:
+        """Return the caller's request."""
+        return self.binding.request
+
+    @property
+    def route(self) -> Route:
+        """Return the route of the request."""
+        return self.binding.route
+
     @property
     def has_delivered(self) -> bool:
         """Return whether the caller got an event of this response."""
@@ -81,11 +91,12 @@
         self.budget.earn()
         if self._is_too_late(0.0, now_ms):
             return self._fail_too_late("too little time for the answer", now_ms)
-        actions = self._resume_earlier_run(now_ms)
-        if actions:
-            return actions
-        if not self._is_resent(now_ms):
-            return self._send_prompt(now_ms)
+        if not self._is_unproven(now_ms):
+            actions = self._resume_earlier_run(now_ms)
+            if actions:
+                return actions
+            if not self._is_resent(now_ms):
+                return self._send_prompt(now_ms)
         self._search_deadline_ms = now_ms + self.options.search_timeout_ms
         return [FindEarlierRun(self._prompt_list_candidates(now_ms))]
 
@@ -94,8 +105,15 @@
         if self.is_over or self._search_deadline_ms is None:
             return []
         self._search_deadline_ms = None
+        if self._is_unproven(now_ms):
+            return self._fail_lost("software version unknown")
         return self._resume_earlier_run(now_ms) or self._send_prompt(now_ms)
 
+    def bind(self, number: int, now_ms: float) -> None:
+        """Keep the stream at the version of an attempt whose event the caller gets."""
+        if self.attempt is not None and self.attempt.number == number:
+            self.binding.began(self.attempt.upstream, now_ms)
+
     def copy(self, now_ms: float) -> CopySource | None:
         """Return the copy that the stream could resume from, None without one."""
         attempt = self.attempt
@@ -119,6 +137,7 @@
         if event_id != self.last_event + 1:
             return False
         self.last_event = event_id
+        self.bind(number, now_ms)
         self.n_deaths = 0
         self._check_answered(attempt, now_ms)
         return True
@@ -287,6 +306,8 @@
             return False
         if not self.placement.permission.may_send(attempt.upstream, now_ms):
             return False
+        if not self.binding.allows(attempt.upstream):
+            return False
         self._retried.add(incarnation)
         return True
 
@@ -300,7 +321,7 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
         copy = self._copies().to_try(attempt, now_ms)
-        if copy is not None:
+        if copy is not None and self.binding.allows(copy.keeper):
             return [self._send(copy.keeper, now_ms, copy)]
         if self._may_retry_same_upstream(attempt, fault, now_ms):
             return [self._send(attempt.upstream, now_ms)]
@@ -349,10 +370,20 @@
         copy = self.find_copy(now_ms)
         if copy is None or not self.placement.may_keeper_hold(copy.keeper, now_ms):
             return []
+        if not self.binding.allows(copy.keeper):
+            return []
         if not self._copies().may_resume_on(copy.keeper, now_ms):
             return []
         return [self._send(copy.keeper, now_ms, copy)]
 
+    def _is_unproven(self, now_ms: float) -> bool:
+        """Return whether no upstream is certain to continue what the caller has."""
+        self.binding.resolve(self.service, now_ms)
+        origin = self.binding.origin
+        if origin is not None:
+            self.service = origin.service
+        return self.binding.is_unproven
+
     def _is_resent(self, now_ms: float) -> bool:
         """Return whether the request was sent before, to a router that is not known.
 
@@ -377,6 +408,8 @@
         if choice is None and self._tried:
             self._tried.clear()
             choice = self._choose(prompt, now_ms)
+        if choice is None and self._has_left(now_ms):
+            return self._fail_lost("its software version has left")
         if choice is None:
             return self._fail_not_served("no upstream", now_ms)
         read_ms = self._evidence().fastest_read_ms(choice.upstream, now_ms)
@@ -391,8 +424,16 @@
             self._tried,
             prompt,
             is_resumed=self.has_delivered or self.n_lost > 0,
+            may_run=None if self.binding.is_open else self.binding.allows,
         )
 
+    def _has_left(self, now_ms: float) -> bool:
+        """Return whether no usable upstream may continue the stream."""
+        if self.binding.is_open:
+            return False
+        usable = self.placement.upstreams.usable(self.service, now_ms)
+        return not any(self.binding.allows(item) for item in usable)
+
     def _evidence(self) -> StreamEvidence:
         return StreamEvidence(self.request, self.service, self.placement, self.options)
 
@@ -472,6 +513,12 @@
             return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
         return self._fail(Failure.NOT_RUN, closure.reason, closure.return_ms)
 
+    def _fail_lost(self, reason: str) -> list[Action]:
+        """End a stream that can't go on; it is no use to come back."""
+        is_run = self.n_lost or self.has_delivered
+        failure = Failure.UNKNOWN_OUTCOME if is_run else Failure.NOT_RUN
+        return self._fail(failure, reason)
+
     def _fail_blocked(self) -> list[Action]:
         """End a request that was blocked meanwhile, before it ends another engine."""
         failure = Failure.UNKNOWN_OUTCOME if self.n_sent else Failure.NOT_RUN
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from bronzeline_kernel.forwarding.departed_upstreams import DepartedUpstreams
+from bronzeline_kernel.forwarding.service_versions import ServiceVersions
 from bronzeline_kernel.forwarding.upstream_notices import (
     Incarnation,
     UpstreamNotices,
@@ -57,6 +58,7 @@
 
     def __init__(self) -> None:
         self.notices = UpstreamNotices()
+        self.versions = ServiceVersions()
         self._listed: dict[str, ListedUpstream] = {}
         # Indexes over the list, rebuilt after it changes.
         self._newest: dict[Address, ListedUpstream] = {}
--- a/packages/kernel/bronzeline_kernel/forwarding/view.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/view.py
@@ -9,7 +9,7 @@
 from bronzeline_kernel.forwarding.route_table import RouteTable
 from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.stored_config import StoredConfig
-from bronzeline_kernel.forwarding.upstream_set import UpstreamSet
+from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 
 __all__ = ["ForwardingView"]
 
@@ -66,9 +66,22 @@
 
     def apply_listing(self, listing: UpstreamListing, now_ms: float) -> None:
         """Replace the list of upstreams."""
+        versions = self.upstreams.versions
+        versions.keep_only((item.upstream_id for item in listing.upstreams), now_ms)
+        for item in listing.upstreams:
+            versions.put(item.upstream_id, item.service, item.version, now_ms)
         self.upstreams.replace_all(listing.upstreams, now_ms)
         self.changes.restart(listing.position)
 
+    def adopt(self, entry: ListedUpstream, now_ms: float) -> bool:
+        """Add an upstream that the store can't list now; return whether it is new."""
+        is_new = self.upstreams.adopt(entry)
+        if is_new:
+            self.upstreams.versions.put(
+                entry.upstream_id, entry.service, entry.version, now_ms
+            )
+        return is_new
+
     def listing(self) -> UpstreamListing:
         """Return the complete list of upstreams, for a peer."""
         return UpstreamListing(self.upstreams.listed(), self.changes.position)
@@ -94,10 +107,15 @@
         if position.era != known.era or position < known:
             return
         for change in changes:
-            if change.entry is None:
+            entry = change.entry
+            if entry is None:
+                self.upstreams.versions.remove(change.upstream_id, now_ms)
                 self.upstreams.remove(change.upstream_id, now_ms)
             else:
-                self.upstreams.put(change.entry)
+                self.upstreams.versions.put(
+                    entry.upstream_id, entry.service, entry.version, now_ms
+                )
+                self.upstreams.put(entry)
         self.changes.add(changes, position)
 
     def is_ready(self, now_ms: float) -> bool:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
@@ -18,6 +18,7 @@
 )
 from bronzeline_kernel.tests.forwarding.samples import (
     ENGINES,
+    binding,
     fleet,
     placement,
     request,
@@ -48,7 +49,11 @@
         if kind is WorkKind.STREAM:
             drafts = route(timeout_ms=left_ms)
             run = StreamRun(
-                request(), drafts, ENGINES, self.placement, budget, deadline_ms
+                binding(request(), drafts, self.placement),
+                ENGINES,
+                self.placement,
+                budget,
+                deadline_ms,
             )
         else:
             run = CallRun(route(kind), ENGINES, self.placement, budget, deadline_ms)
@@ -170,7 +175,8 @@
     def test_rests_of_the_others_do_not_delay_who_finds_an_upstream_full(self, kind):
         self.say(resting(30_000.0), "zone-a-0", "zone-b-0")
         run, (send,) = self.start(0.0, kind=kind)
-        run.route = route(kind, max_attempts=1)
+        owner = run.binding if kind is WorkKind.STREAM else run
+        owner.route = route(kind, max_attempts=1)
         (fail,) = run.lost(send.number, Fault.FULL, 20.0)
         self.assertEqual(fail.retry_after_ms, run.options.retry_after_ms)
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
@@ -19,6 +19,7 @@
 )
 from bronzeline_kernel.tests.forwarding.samples import (
     ENGINES,
+    binding,
     fleet,
     placement,
     request,
@@ -113,12 +114,15 @@
 
     def start(self, now_ms):
         self.run = StreamRun(
-            request(
-                request_id=f"stream-{now_ms}",
-                n_prompt_tokens=self.n_prompt_tokens,
-                after_event=self.after_event,
+            binding(
+                request(
+                    request_id=f"stream-{now_ms}",
+                    n_prompt_tokens=self.n_prompt_tokens,
+                    after_event=self.after_event,
+                ),
+                route(),
+                self.player.placement,
             ),
-            route(),
             ENGINES,
             self.player.placement,
             self.player.budget,
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_table.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_table.py
@@ -43,10 +43,17 @@
     n_chosen = 0
 
     def choose_for_stream(
-        self, service, now_ms, exclude=(), prompt=None, *, is_resumed=False
+        self,
+        service,
+        now_ms,
+        exclude=(),
+        prompt=None,
+        *,
+        is_resumed=False,
+        may_run=None,
     ):
         choice = super().choose_for_stream(
-            service, now_ms, exclude, prompt, is_resumed=is_resumed
+            service, now_ms, exclude, prompt, is_resumed=is_resumed, may_run=may_run
         )
         if choice is None:
             return None
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
@@ -10,10 +10,12 @@
     Placement,
     Route,
     ServiceShare,
+    StreamBinding,
     UpstreamHealth,
     UpstreamSet,
     WorkKind,
     WorkspaceKeys,
+    request_hash,
 )
 
 ENGINES = "engines"
@@ -54,6 +56,9 @@
 def placement(entries, own_zone="zone-a"):
     upstreams = UpstreamSet()
     upstreams.replace_all(entries, 0.0)
+    for item in entries:
+        upstreams.versions.put(item.upstream_id, item.service, item.version, 0.0)
+    upstreams.versions.learn((), 0.0)
     return Placement(own_zone, upstreams, UpstreamHealth(), Random(7))
 
 
@@ -93,3 +98,13 @@
         services=(),
         workspaces=(WorkspaceKeys("shop", tuple(keys)),) if keys else (),
     )
+
+
+def binding(of_request, of_route, of_placement):
+    return StreamBinding(
+        of_request,
+        of_route,
+        request_hash(of_request),
+        of_placement.upstreams,
+        of_placement.prompts,
+    )
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_driver.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_driver.py
@@ -8,6 +8,7 @@
 )
 from bronzeline_kernel.tests.forwarding.samples import (
     ENGINES,
+    binding,
     fleet,
     placement,
     request,
@@ -24,8 +25,11 @@
         self.placement = placement(fleet(per_zone))
         self.now_ms = 0.0
         self.run = StreamRun(
-            run_fields.pop("request", request()),
-            run_fields.pop("route", route()),
+            binding(
+                run_fields.pop("request", request()),
+                run_fields.pop("route", route()),
+                self.placement,
+            ),
             ENGINES,
             self.placement,
             RetryBudget(0.5, budget),
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -234,7 +234,8 @@
         fields = {"unique_part_id": "own", **request_fields}
         driver = Driver(request=request(**fields))
         for name, value in run_fields.items():
-            setattr(driver.run, name, value)
+            owner = driver.run.binding if name == "route" else driver.run
+            setattr(owner, name, value)
         first = driver.start()
         self.assertEqual(isinstance(first, FindEarlierRun), is_searched)
         self.assertEqual(isinstance(first, Send), not is_searched)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
@@ -16,6 +16,7 @@
 )
 from bronzeline_kernel.tests.forwarding.samples import (
     ENGINES,
+    binding,
     fleet,
 )
 from bronzeline_kernel.tests.forwarding.stream_driver import Driver
@@ -194,8 +195,7 @@
         copy = CopySource(self.sent.copy_to, self.sent.copy_to, "id-1")
         run = self.driver.run
         other = StreamRun(
-            run.request,
-            run.route,
+            binding(run.request, run.route, self.driver.placement),
             ENGINES,
             self.driver.placement,
             run.budget,
