Take calls around a planned stop only if their route's time-out ends before it

What callers saw: calls that came late in the grace were passed on and cut without an answer at the exit, calls that may run once among them.

Cause: a stopping router took calls until a fixed 1,300 ms before the exit, whatever time their route allows. The class: a bound for the usual case in place of the one that holds.

Change: a call is taken if all the time that it is allowed ends before the exit, else told at once that it has not run.

--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -323,7 +323,9 @@
         now_ms = self.now_ms()
         if now_ms - due_ms > STALL_MS or self.is_waiting_for_caller:
             self.on_process_stall()
-        self.perform(self._machine.tick(now_ms))
+        machine = self._machine
+        machine.deadline_ms = min(machine.deadline_ms, self.context.answer_by_ms())
+        self.perform(machine.tick(now_ms))
         self.after_tick(now_ms)
         if not self._machine.is_over:
             self._schedule_tick()
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -33,6 +33,7 @@
     """Decide how one request proceeds, without I/O."""
 
     is_over: bool
+    deadline_ms: float
     budget: RetryBudget
 
     def start(self, now_ms: float) -> list[Action]:
@@ -84,3 +85,5 @@
     is_staying: Callable[[ListedUpstream], bool]
     # Called with the upstream and the head of each response.
     on_response: Callable[[ListedUpstream, ResponseHead], None]
+    # Returns when all requests must have ended, as the process exits.
+    answer_by_ms: Callable[[], float]
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -49,6 +49,7 @@
     WorkKind,
     Zone,
     admit,
+    allowed_time_ms,
     request_hash,
 )
 from bronzeline_kernel.protocols import Clock
@@ -128,6 +129,7 @@
             self._on_upstream_dead,
             view.upstreams.is_staying,
             self._on_response,
+            lambda: math.inf if self.stop_plan is None else self.stop_plan.answer_by_ms,
         )
 
     def limits(self) -> CallerLimits:
@@ -213,8 +215,7 @@
         assert table is not None
         service = table.choose_service(route, self._random)
         budget = self._budgets.budget(service, self.peers.n_routers)
-        allowed_ms = min(request.budget_ms or route.timeout_ms, route.timeout_ms)
-        deadline_ms = now_ms + allowed_ms
+        deadline_ms = now_ms + allowed_time_ms(request, route)
         self.n_running += 1
         if route.kind is WorkKind.STREAM:
             binding = StreamBinding(
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -5,6 +5,7 @@
     Refusal,
     Refused,
     admit,
+    allowed_time_ms,
 )
 from bronzeline_kernel.forwarding.adoption import AdoptionGuard, UpstreamIdentity
 from bronzeline_kernel.forwarding.block_list import (
@@ -286,6 +287,7 @@
     "Zone",
     "ZoneLost",
     "admit",
+    "allowed_time_ms",
     "find_parent",
     "part_key",
     "request_hash",
--- a/packages/kernel/bronzeline_kernel/forwarding/admission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/admission.py
@@ -12,7 +12,7 @@
 from bronzeline_kernel.forwarding.stop_plan import StopPlan
 from bronzeline_kernel.forwarding.view import ForwardingView
 
-__all__ = ["Admitted", "Refusal", "Refused", "admit"]
+__all__ = ["Admitted", "Refusal", "Refused", "admit", "allowed_time_ms"]
 
 # A router that just started doesn't know how long the store has been away; another
 # router may have a configuration already.
@@ -72,7 +72,8 @@
         if is_current:
             return Refused(Refusal.NO_ROUTE, "no route for host and path")
         return _not_ready("configuration not proven current", retry_after_ms)
-    if stop is not None and not stop.accepts(route, arrived_at_ms):
+    allowed_ms = allowed_time_ms(request, route)
+    if stop is not None and not stop.accepts(route, allowed_ms, arrived_at_ms):
         return Refused(Refusal.STOPPING, "stopping", STOPPING_RETRY_AFTER_MS)
     if route.is_public or not table.needs_keys:
         return Admitted(route, None)
@@ -84,5 +85,10 @@
     return Admitted(route, workspace)
 
 
+def allowed_time_ms(request: CallerRequest, route: Route) -> float:
+    """Return how long a request may take: the caller's budget, at most the route's."""
+    return min(request.budget_ms or route.timeout_ms, route.timeout_ms)
+
+
 def _not_ready(reason: str, retry_after_ms: float) -> Refused:
     return Refused(Refusal.NOT_READY, reason, retry_after_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/stop_plan.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stop_plan.py
@@ -14,9 +14,8 @@
 # Share of the grace period after which running requests are ended; the rest is
 # left for the process to exit before it is killed.
 GRACE_SHARE = 0.975
-# Time within which a short call is answered, even with a slow upstream and a
-# retry.
-MAX_CALL_MS = 1_300.0
+# Calls that still run are answered this long before the exit.
+ANSWER_MARGIN_MS = 150.0
 
 
 @dataclass(frozen=True)
@@ -31,18 +30,23 @@
         """Return when the router ends the requests that still run."""
         return self.began_at_ms + GRACE_SHARE * self.grace_ms
 
+    @property
+    def answer_by_ms(self) -> float:
+        """Return when the last calls are answered, whether they have ended or not."""
+        return self.ends_at_ms - ANSWER_MARGIN_MS
+
     @property
     def idle_end_at_ms(self) -> float:
         """Return the earliest time at which an idle router may exit."""
         return min(self.began_at_ms + BALANCER_DELAY_MS, self.ends_at_ms)
 
-    def accepts(self, route: Route, now_ms: float) -> bool:
+    def accepts(self, route: Route, allowed_ms: float, now_ms: float) -> bool:
         """Return whether a request that arrives now should still run here.
 
-        Streams are refused once the load balancer has had time to remove this
-        router: they would be cut off at its exit, while another router can complete
-        them.
+        A call may take all of the time that it is allowed. Streams are refused once
+        the load balancer has had time to remove this router: they would be cut off
+        at its exit, while another router can complete them.
         """
         if route.kind is WorkKind.STREAM:
             return now_ms < self.idle_end_at_ms
-        return now_ms + MAX_CALL_MS < self.ends_at_ms
+        return now_ms + allowed_ms <= self.answer_by_ms
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
@@ -17,7 +17,18 @@
 ROUTES = (
     route(),
     route(name="open", path_prefix="/open/", is_public=True),
-    route(kind=WorkKind.NON_IDEMPOTENT, name="order", path_prefix="/orders/"),
+    route(
+        kind=WorkKind.NON_IDEMPOTENT,
+        name="order",
+        path_prefix="/orders/",
+        timeout_ms=1_200.0,
+    ),
+    route(
+        kind=WorkKind.NON_IDEMPOTENT,
+        name="long",
+        path_prefix="/long/",
+        timeout_ms=6_000.0,
+    ),
 )
 
 
@@ -54,8 +65,13 @@
     @params(
         ("/drafts/1", 2_000.0, True),
         ("/drafts/1", 3_000.0, False),
+        # A call may take until its deadline; the exit is at 7,800 ms.
         ("/orders/1", 3_000.0, True),
+        ("/orders/1", 6_450.0, True),
+        ("/orders/1", 6_451.0, False),
         ("/orders/1", 7_000.0, False),
+        ("/long/1", 1_650.0, True),
+        ("/long/1", 1_651.0, False),
     )
     def test_stopping_router_accepts_only_what_it_can_complete(
         self, path, now_ms, expected
