Keep in the store where streams began, while a service has several versions

Cause: only routers knew where a stream had begun, and all of them were killed.

A router that does not know the versions of before its start, as the store is away, learns them from a peer's answer.

--- a/packages/daemon/bronzeline_daemon/forwarding/origin_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/origin_exchange.py
@@ -10,6 +10,7 @@
     OriginAsked,
     OriginUnknown,
     RouterEntry,
+    ServiceVersions,
     StreamOrigin,
     StreamOrigins,
 )
@@ -33,10 +34,15 @@
     """Record streams' origins at peers, and ask them."""
 
     def __init__(
-        self, peers: ForwardingPeers, origins: StreamOrigins, clock: Clock
+        self,
+        peers: ForwardingPeers,
+        origins: StreamOrigins,
+        versions: ServiceVersions,
+        clock: Clock,
     ) -> None:
         self._peers = peers
         self._origins = origins
+        self._versions = versions
         self._clock = clock
         self._lookups: dict[str, Lookup] = {}
         peers.listen(StreamOrigin, self._on_origin)
@@ -66,10 +72,14 @@
             del self._lookups[request_hash]
 
     def _on_asked(self, asked: OriginAsked, peer: RouterEntry) -> None:
-        origin = self._origins.find(
-            asked.request_id, asked.request_hash, self._clock.now_ms()
-        )
-        self._peers.send_to(origin or OriginUnknown(asked.request_hash), peer)
+        now_ms = self._clock.now_ms()
+        origin = self._origins.find(asked.request_id, asked.request_hash, now_ms)
+        if origin is not None:
+            self._peers.send_to(origin, peer)
+            return
+        is_complete = self._versions.is_complete
+        versions = self._versions.records(now_ms) if is_complete else None
+        self._peers.send_to(OriginUnknown(asked.request_hash, versions), peer)
 
     def _on_origin(self, origin: StreamOrigin, peer: RouterEntry) -> None:
         self._origins.put(origin, self._clock.now_ms())
@@ -78,6 +88,9 @@
             lookup.is_done.set()
 
     def _on_unknown(self, unknown: OriginUnknown, peer: RouterEntry) -> None:
+        if unknown.versions is not None and not self._versions.is_complete:
+            # This router has started while the store is away.
+            self._versions.learn(unknown.versions, self._clock.now_ms())
         lookup = self._lookups.get(unknown.request_hash)
         if lookup is None:
             return
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -15,6 +15,7 @@
 from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
 from bronzeline_daemon.forwarding.frontend import CallerFrontend
 from bronzeline_daemon.forwarding.metrics import MetricsServer
+from bronzeline_daemon.forwarding.origin_directory import OriginDirectory
 from bronzeline_daemon.forwarding.peer_documents import PeerDocuments
 from bronzeline_daemon.forwarding.plain_response import send_plain_response
 from bronzeline_daemon.forwarding.proof_exchange import ProofExchange
@@ -108,6 +109,13 @@
         self.versions = VersionDirectory(
             store, self.view.upstreams.versions, self.source, self.clock
         )
+        self.origins = OriginDirectory(
+            store,
+            self.service.origins,
+            self.view.upstreams.versions,
+            peers,
+            self.clock,
+        )
         self._store = store
         store.era.listen(_log_restored)
         self._add_gauges()
@@ -133,6 +141,7 @@
         self.directory.start()
         self.blocks.start()
         self.versions.start()
+        self.origins.start()
         for server, address in (
             (self._readiness, self.settings.readiness),
             (self.frontend.server, self.settings.callers),
@@ -170,6 +179,7 @@
         self.directory.stop()
         self.blocks.stop()
         self.versions.stop()
+        self.origins.stop()
         self.service.peers.stop()
         self.documents.stop()
         for server in (self.frontend.server, self._readiness, self._metrics_server):
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -94,8 +94,10 @@
         self.peers = ForwardingPeers(
             settings, self.placement, self._runs, self.quarantine, clock, random
         )
-        self._origins = StreamOrigins()
-        origin_exchange = OriginExchange(self.peers, self._origins, clock)
+        self.origins = StreamOrigins()
+        origin_exchange = OriginExchange(
+            self.peers, self.origins, view.upstreams.versions, clock
+        )
         self._engine_adopter = EngineAdopter(view, engines, self.peers, clock)
         self._budgets = BudgetShare(settings.retry_ratio, settings.n_retry_reserve)
         self.n_running = 0
@@ -224,7 +226,7 @@
                 hash_of_request,
                 self._view.upstreams,
                 self.placement.prompts,
-                self._origins,
+                self.origins,
             )
             stream = StreamRun(
                 binding,
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -52,6 +52,7 @@
     Probe,
     Send,
 )
+from bronzeline_kernel.forwarding.own_origins import OwnOrigins
 from bronzeline_kernel.forwarding.part_blame import (
     BlamedParts,
     PartBlame,
@@ -214,6 +215,7 @@
     "NoticeChange",
     "OriginAsked",
     "OriginUnknown",
+    "OwnOrigins",
     "PartBlame",
     "PartBlameOptions",
     "PartsAnswered",
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -20,6 +20,7 @@
 from bronzeline_kernel.forwarding.service_versions import VersionRecord
 from bronzeline_kernel.forwarding.store_era import StoreEra
 from bronzeline_kernel.forwarding.store_position import StorePosition
+from bronzeline_kernel.forwarding.stream_origins import StreamOrigin
 from bronzeline_kernel.forwarding.upstream_notices import NO_NOTICE, UpstreamNotice
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream
 
@@ -113,6 +114,14 @@
     async def write_versions(self, record: VersionRecord) -> None:
         """Write the versions of a service, also over earlier ones."""
 
+    async def list_origins(self) -> Mapping[str, tuple[StreamOrigin, ...]]:
+        """Return the stored origins of streams, by the id of the router."""
+
+    async def write_origins(
+        self, router_id: str, origins: tuple[StreamOrigin, ...]
+    ) -> None:
+        """Replace the stored origins of a router's streams."""
+
     def close(self) -> None:
         """Close the connections to the store."""
 
--- a/packages/kernel/bronzeline_kernel/forwarding/service_versions.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/service_versions.py
@@ -84,6 +84,11 @@
         versions = self.recent(service, now_ms) if self.is_complete else frozenset()
         return next(iter(versions)) if len(versions) == 1 else ""
 
+    def is_mixed(self, now_ms: float) -> bool:
+        """Return whether some service may have streams of several versions."""
+        names = {key[0] for key in (*self._n_upstreams, *self._gone_at_ms)}
+        return any(len(self.recent(name, now_ms)) > 1 for name in names)
+
     def records(self, now_ms: float) -> tuple[VersionRecord, ...]:
         """Return the recent versions of all services, for the store."""
         names = {key[0] for key in (*self._n_upstreams, *self._gone_at_ms)}
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
@@ -71,7 +71,7 @@
             upstream.upstream_id,
             upstream.started_at_ms,
         )
-        self.origins.put(self.origin, now_ms)
+        self.origins.record(self.origin, now_ms)
         self.on_began(self.origin)
 
     def resolve(self, service: str, now_ms: float) -> None:
@@ -81,7 +81,7 @@
         self.origin = self._find_record(now_ms)
         if self.origin is not None:
             self.proof = VersionProof.RECORD
-            self.origins.put(self.origin, now_ms)
+            self.origins.record(self.origin, now_ms)
             return
         version = self._only_version(service, now_ms)
         proof = VersionProof.ONLY_VERSION
@@ -93,6 +93,8 @@
             self.origin = StreamOrigin(
                 self.request.resumes_id, self.request_hash, service, version
             )
+            if self.request.resumes_id:
+                self.origins.record(self.origin, now_ms)
 
     def allows(self, upstream: ListedUpstream) -> bool:
         """Return whether the stream may run at an upstream."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_origins.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_origins.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from bronzeline_kernel.forwarding.service_versions import VersionRecord
 from bronzeline_kernel.forwarding.upstream_set import Incarnation
 
 __all__ = ["OriginAsked", "OriginUnknown", "StreamOrigin", "StreamOrigins"]
@@ -44,9 +46,13 @@
 
 @dataclass(frozen=True)
 class OriginUnknown:
-    """Reply that this router doesn't know where a stream began."""
+    """Reply that this router doesn't know where a stream began.
+
+    `versions` are those of each service; None if this router doesn't know them all.
+    """
 
     request_hash: str
+    versions: tuple[VersionRecord, ...] | None = None
 
 
 class StreamOrigins:
@@ -56,6 +62,13 @@
         # By the caller's request, in the order of their recording.
         self._origins: dict[str, tuple[StreamOrigin, float]] = {}
         self._ids_by_hash: dict[str, set[str]] = {}
+        # Called with each origin of this router's own streams, and the time.
+        self.on_began: Callable[[StreamOrigin, float], None] = lambda origin, ms: None
+
+    def record(self, origin: StreamOrigin, now_ms: float) -> None:
+        """Record the origin of a stream that this router relays."""
+        self.put(origin, now_ms)
+        self.on_began(origin, now_ms)
 
     def put(self, origin: StreamOrigin, now_ms: float) -> None:
         """Record an origin, and drop those that no caller can take up any more."""
