--- a/packages/daemon/bronzeline_daemon/forwarding/origin_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/origin_directory.py
@@ -18,7 +18,7 @@
 
 __all__ = ["OriginDirectory"]
 
-TICK_S = 0.05
+TICK_S = 0.1
 RETRY_S = 0.6
 
 
--- a/packages/daemon/bronzeline_daemon/forwarding/version_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/version_directory.py
@@ -12,7 +12,7 @@
 
 __all__ = ["VersionDirectory"]
 
-TICK_S = 0.2
+TICK_S = 0.5
 RETRY_S = 0.6
 
 
