--- a/packages/kernel/bronzeline_kernel/forwarding/stream_origins.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_origins.py
@@ -63,7 +63,7 @@
         self._origins: dict[str, tuple[StreamOrigin, float]] = {}
         self._ids_by_hash: dict[str, set[str]] = {}
         # Called with each origin of this router's own streams, and the time.
-        self.on_began: Callable[[StreamOrigin, float], None] = lambda origin, ms: None
+        self.on_began: Callable[[StreamOrigin, float], None] = lambda *args: None
 
     def record(self, origin: StreamOrigin, now_ms: float) -> None:
         """Record the origin of a stream that this router relays."""
