--- a/packages/daemon/bronzeline_daemon/forwarding/origin_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/origin_directory.py
@@ -20,6 +20,8 @@
 
 TICK_S = 0.1
 RETRY_S = 0.6
+# The store may never take the object.
+MAX_RETRY_S = 3.0
 
 
 class OriginDirectory:
@@ -56,6 +58,7 @@
             self._task.cancel()
 
     async def _run(self) -> None:
+        retry_s = RETRY_S
         while True:
             await asyncio.sleep(TICK_S)
             try:
@@ -64,9 +67,11 @@
                 log_event("origins_not_stored", error=str(error))
                 self._is_unsure = True
                 self._own.forget_stored()
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(retry_s)
+                retry_s = min(MAX_RETRY_S, 2.0 * retry_s)
             else:
                 self._is_unsure = False
+                retry_s = RETRY_S
 
     async def _synchronize(self) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/daemon/bronzeline_daemon/forwarding/version_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/version_directory.py
@@ -14,6 +14,8 @@
 
 TICK_S = 0.5
 RETRY_S = 0.6
+# The store may never take the object.
+MAX_RETRY_S = 3.0
 
 
 class VersionDirectory:
@@ -52,15 +54,18 @@
             self._task.cancel()
 
     async def _run(self) -> None:
+        retry_s = RETRY_S
         while True:
             try:
                 await self._synchronize()
             except StoreUnavailableError as error:
                 log_event("versions_not_stored", error=str(error))
                 self._is_unsure = True
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(retry_s)
+                retry_s = min(MAX_RETRY_S, 2.0 * retry_s)
             else:
                 self._is_unsure = False
+                retry_s = RETRY_S
                 await asyncio.sleep(TICK_S)
 
     async def _synchronize(self) -> None:
