Don't take a comparison of versions for a proof's source being back

What callers would see: changes late by up to two seconds, again and again, where the root of the tree is cut off from the store but not from its peers.

Cause: since the root compares versions with a peer each second, that peer took the root for alive, and asked it for proofs again after 5 s in place of ever later. Found by reading.

Change: such a request does not end the avoidance.

--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -108,7 +108,9 @@
 
     def _on_proof_asked(self, request: ProofAsked, peer: RouterEntry) -> None:
         now_ms = self._clock.now_ms()
-        self._proof_source.heard_from(peer.router_id, now_ms)
+        if request.number != COMPARISON:
+            # A root that is cut off from the store compares versions, too.
+            self._proof_source.heard_from(peer.router_id, now_ms)
         self._learn_era(request.position)
         self._compare_versions(request.config_version, peer)
         read_age_ms = self._view.read_age_ms(now_ms)
