Don't let callers with little time return all when the first rest ends

Callers whose time was short were told to come back all at one moment, the end of the first rest.

Cause: the place in the queue was bounded to 0.7 of the caller's whole time. With 1,200 ms left and a rest of about 1 s this lies before the rest's end, so the place was lost. The bound now counts from the first end: 0.7 of the time that the caller has left then. One whose time ends before the rest keeps its place in the queue.

--- a/packages/kernel/bronzeline_kernel/forwarding/return_queue.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/return_queue.py
@@ -63,12 +63,16 @@
         """Return the closure of a service whose upstreams rest until these times.
 
         One caller returns each interval for each upstream whose rest ends by about
-        then, but none before the first end, also if its own time ends before.
+        then, but none before the first end, also if its own time ends before. One
+        whose time ends in the queue returns while enough of it is left.
         """
         first_ms = min(ends_at_ms)
         due_ms = max(first_ms, self._due_ms.get(service, 0.0))
         n_open = sum(end_ms <= due_ms + MAX_REST_SPREAD_MS for end_ms in ends_at_ms)
         next_due_ms = due_ms + interval_ms / n_open
         self._due_ms[service] = min(next_due_ms, first_ms + MAX_QUEUE_MS)
-        queued_ms = useful_return_ms(due_ms - now_ms, left_ms)
-        return Closure(ALL_REST, max(first_ms - now_ms, queued_ms))
+        wait_ms = first_ms - now_ms
+        queued_ms = due_ms - first_ms
+        if left_ms > wait_ms:
+            queued_ms = useful_return_ms(queued_ms, left_ms - wait_ms)
+        return Closure(ALL_REST, wait_ms + queued_ms)
