--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -190,6 +190,10 @@
         """Return further fields of the line on an attempt."""
         return {}
 
+    def end_fields(self) -> dict[str, object]:
+        """Return further fields of the line on the request's end."""
+        return {}
+
     def silent_ms(self) -> int:
         """Return the time since the caller's last event, in milliseconds."""
         return round(self.now_ms() - (self._event_at_ms or self._started_at_ms))
@@ -357,6 +361,7 @@
             "duration_ms": round(report.duration_ms),
             "first_event_ms": round(report.first_event_ms),
             "longest_gap_ms": round(report.longest_gap_ms),
+            **self.end_fields(),
         }
         if report.outcome in GOOD_OUTCOMES:
             self._log.info("request_ended", **fields)
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -186,6 +186,16 @@
         is_taken_up = self.request.is_taken_up
         return {"proof": self._run.binding.proof.value} if is_taken_up else {}
 
+    def end_fields(self) -> dict[str, object]:
+        """Return what the caller took up; a stream without proof has no attempt."""
+        if not self.request.is_taken_up:
+            return {}
+        return {
+            "resumes": self.request.resumes_id,
+            "after_event": self.request.after_event,
+            **self.attempt_fields(),
+        }
+
     def n_events(self, number: int) -> int:
         """Return how many events the caller got from an attempt."""
         return self._run.n_events(number)
