Store where a stream began as soon as it has begun

Cause: the record waited for a tick of 0.1 s before the write to the store.

A stream's beginning now wakes the writer; the bound on writes stays.

--- a/packages/daemon/bronzeline_daemon/forwarding/origin_directory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/origin_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
 from bronzeline_daemon.forwarding.store_timeout import StoreTimeout
@@ -12,6 +13,7 @@
     DirectoryStore,
     OwnOrigins,
     ServiceVersions,
+    StreamOrigin,
     StreamOrigins,
 )
 from bronzeline_kernel.protocols import Clock
@@ -46,7 +48,8 @@
         self._is_unsure = True
         self._task: asyncio.Task[None] | None = None
         store.era.listen(lambda former_era, era: self._own.forget_stored())
-        origins.on_began = self._own.add
+        self._has_begun = asyncio.Event()
+        origins.on_began = self._on_began
 
     def start(self) -> None:
         """Start to read and write."""
@@ -60,7 +63,7 @@
     async def _run(self) -> None:
         retry_s = RETRY_S
         while True:
-            await asyncio.sleep(TICK_S)
+            await self._wait()
             try:
                 await self._synchronize()
             except StoreUnavailableError as error:
@@ -73,6 +76,17 @@
                 self._is_unsure = False
                 retry_s = RETRY_S
 
+    def _on_began(self, origin: StreamOrigin, now_ms: float) -> None:
+        self._own.add(origin, now_ms)
+        self._has_begun.set()
+
+    async def _wait(self) -> None:
+        """Wait for a tick or a stream's beginning, which a crash would lose."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TICK_S):
+                await self._has_begun.wait()
+        self._has_begun.clear()
+
     async def _synchronize(self) -> None:
         now_ms = self._clock.now_ms()
         is_mixed = self._versions.is_mixed(now_ms)
