Show upstreams that leave and rest in the operator's command

The forwarding routers have no operators' API, so `bronzeline status forwarding ADDRESS...` reads their metrics: state, running requests, configuration, lease, store's era, upstreams, and how many of them say now, or have said, that they leave or want no requests. An address that does not respond, or not with metrics, is shown as unreachable, the reason on the error output.

No code of routers changed.

--- a/packages/operator/bronzeline/commands/status.py
+++ b/packages/operator/bronzeline/commands/status.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import isfinite
 
 import click
 
 from bronzeline.connection import Connection
 from bronzeline.context import async_command, output_option, pass_connection
+from bronzeline.metrics_client import MetricsClient, MetricsError
 from bronzeline.router_client import RouterClient, RouterError
 from bronzeline.tables import print_rows
 from bronzeline_daemon.admin.status import RouterStatus, ServiceRow
@@ -48,6 +50,27 @@
     n_leaving: int
 
 
+@dataclass(frozen=True)
+class ForwardingRow:
+    """Represent a router that forwards the platform's requests.
+
+    `n_leaving` and `n_resting` upstreams say now that they leave or want no requests;
+    `n_said_leaving` and `n_said_resting` have said so since the router started.
+    """
+
+    address: str
+    state: str = "unreachable"
+    n_running: int | None = None
+    configuration_version: int | None = None
+    lease_age_ms: int | None = None
+    store_era: int | None = None
+    n_upstreams: int | None = None
+    n_leaving: int | None = None
+    n_resting: int | None = None
+    n_said_leaving: int | None = None
+    n_said_resting: int | None = None
+
+
 @click.group(invoke_without_command=True)
 @click.pass_context
 def status(context: click.Context) -> None:
@@ -96,6 +119,49 @@
     print_rows(await _router_rows(connection), output)
 
 
+@status.command()
+@click.argument("addresses", nargs=-1, required=True)
+@output_option
+@pass_connection
+@async_command
+async def forwarding(
+    connection: Connection, addresses: tuple[str, ...], output: str
+) -> None:
+    """Show routers that forward the platform's requests.
+
+    ADDRESSES are their metrics addresses, such as http://127.0.0.1:9100.
+    """
+    client = MetricsClient(connection.settings.timeout_ms)
+    rows = []
+    for address in addresses:
+        try:
+            rows.append(_forwarding_row(address, await client.read(address)))
+        except MetricsError as error:
+            click.echo(str(error), err=True)
+            rows.append(ForwardingRow(address))
+    print_rows(rows, output)
+
+
+def _forwarding_row(address: str, values: dict[str, float]) -> ForwardingRow:
+    def count(name: str) -> int | None:
+        value = values.get(f"bronzeline_{name}")
+        return round(value) if value is not None and isfinite(value) else None
+
+    return ForwardingRow(
+        address=address,
+        state="ready" if count("ready") else "not ready",
+        n_running=count("running"),
+        configuration_version=count("configuration_version"),
+        lease_age_ms=count("lease_age_ms"),
+        store_era=count("store_era"),
+        n_upstreams=count("upstreams"),
+        n_leaving=count("leaving_upstreams"),
+        n_resting=count("resting_upstreams"),
+        n_said_leaving=count("notices_total/leaving") or 0,
+        n_said_resting=count("notices_total/resting") or 0,
+    )
+
+
 async def _router_rows(connection: Connection) -> list[RouterRow]:
     client = RouterClient(connection)
     rows = []
