Bound a caller's return to 0.7 of its time again, while that outlasts the rest

The bound is 0.7 of the whole time again. Only a caller whose time hardly outlasts the first end returns later: within a third of what is left after it.

Measured: closure_tests, return_queue_tests, resting_tests and notice_load_tests, 52 cases, pass; one of them failed before.

--- a/packages/kernel/bronzeline_kernel/forwarding/return_queue.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/return_queue.py
@@ -18,6 +18,9 @@
 
 # Callers are told to come back within this time after the first rest ends.
 MAX_QUEUE_MS = 12_000.0
+# Callers whose time hardly outlasts the first rest return within this share of what
+# is left after its end, so that they don't come all at once.
+SHORT_QUEUE_SHARE = 1 / 3
 
 
 @dataclass(frozen=True)
@@ -71,8 +74,17 @@
         n_open = sum(end_ms <= due_ms + MAX_REST_SPREAD_MS for end_ms in ends_at_ms)
         next_due_ms = due_ms + interval_ms / n_open
         self._due_ms[service] = min(next_due_ms, first_ms + MAX_QUEUE_MS)
-        wait_ms = first_ms - now_ms
-        queued_ms = due_ms - first_ms
-        if left_ms > wait_ms:
-            queued_ms = useful_return_ms(queued_ms, left_ms - wait_ms)
-        return Closure(ALL_REST, wait_ms + queued_ms)
+        queued_ms = _bounded_ms(due_ms - now_ms, first_ms - now_ms, left_ms)
+        return Closure(ALL_REST, queued_ms)
+
+
+def _bounded_ms(due_ms: float, wait_ms: float, left_ms: float) -> float:
+    """Return when a caller is due, bounded so that it has time left to be served.
+
+    `wait_ms` is the time until the first end. One whose time ends before keeps its
+    place: at no time could it be served.
+    """
+    if left_ms <= wait_ms:
+        return due_ms
+    after_first_end_ms = wait_ms + SHORT_QUEUE_SHARE * (left_ms - wait_ms)
+    return max(useful_return_ms(due_ms, left_ms), min(due_ms, after_first_end_ms))
