Close the connections of two test servers before their event loop

The run printed 'Event loop is closed' 14 times for writers that two modules left open (exchange_tests, network_tests).

--- a/packages/daemon/bronzeline_daemon/tests/forwarding/exchange_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/exchange_tests.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import socket
 import unittest
 
@@ -22,11 +23,19 @@
 LINGER_ZERO = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
 
+async def close(writer):
+    """Close a connection before its event loop is closed."""
+    writer.close()
+    with contextlib.suppress(ConnectionError):
+        await writer.wait_closed()
+
+
 class ExchangeTests(unittest.IsolatedAsyncioTestCase):
     async def exchange(self, response, end="keep"):
         """Serve the bytes of a response; return the exchange and the body read."""
 
         async def serve(reader, writer):
+            self.addAsyncCleanup(close, writer)
             await reader.readuntil(b"\r\n\r\n")
             writer.write(response)
             await writer.drain()
--- a/packages/daemon/bronzeline_daemon/tests/peers/network_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/peers/network_tests.py
@@ -76,6 +76,7 @@
             pair.receiver.stop()
 
             async def respond(reader, writer, response=response):
+                self.addCleanup(writer.close)
                 writer.write(response)
 
             port = pair.sender._members.find("b").peer_port
