Show that a stall of the process ends the search for a stream's version

Traced: the loop stood still for 197 ms while their lists were read (prompts_listed took_ms=304), and the search ends 150 ms after its start, whether the process ran or not. The new case of stream_binding_tests shows it without load.

--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_binding_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_binding_tests.py
@@ -171,6 +171,13 @@
         self.start(**TAKEN_UP)
         self.assertEqual(self.driver.run.earlier_run_search_ended(90.0), [UNKNOWN])
 
+    def test_a_stall_of_the_process_does_not_end_the_search(self):
+        """What engines have answered meanwhile is read after it."""
+        self.start(**TAKEN_UP)
+        run = self.driver.run
+        run.process_paused(400.0)
+        self.assertEqual(run.tick(400.0), [])
+
     def test_a_peers_copy_at_another_version_is_not_used(self):
         self.start(**TAKEN_UP)
         run = self.driver.run
