Take a peer's newer configuration also in the pause after a failed store call

Cause: after a failed call to the store a router slept through the whole pause before its next try, which doubles with each failure, and did not look whether a peer has a newer version. The pause of a reading that succeeded ends for that; this one now does too.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -149,8 +149,9 @@
         except StoreUnavailableError as error:
             self._on_call(kind, "unavailable")
             self._mark_unavailable(kind, str(error))
-            pause_ms = self._watch_states.retry_pause_ms(kind, self._clock.now_ms())
-            await asyncio.sleep(pause_ms / 1000.0)
+            now_ms = self._clock.now_ms()
+            pause_ms = self._watch_states.retry_pause_ms(kind, now_ms)
+            await self._pause(kind, now_ms + pause_ms)
             return position
         if read_to is None:
             return position
