Give the search for a stream's version its time after a stall of the process

A caller got a final 503 for a stream whose version the engines could show: the process stood still for 197 ms while their lists were read, and the search ends 150 ms after its start. Cause: the search's time ran on while the process did not. It now begins anew after a stall, as the measure of silence does.

--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -238,9 +238,11 @@
         return []
 
     def process_paused(self, now_ms: float) -> None:
-        """Restart the measurement of silence after this process was suspended."""
+        """Measure silence and the search's time anew after a pause of this process."""
         if self.attempt is not None:
             self.attempt.progress_at_ms = now_ms
+        if self._search_deadline_ms is not None:
+            self._search_deadline_ms = now_ms + self.options.search_timeout_ms
 
     def cancel(self) -> list[Action]:
         """Handle the caller's disconnect: abandon the attempt and drop its copy."""
