--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -89,8 +90,8 @@
 """
 
 
-def config_spec(version=1):
-    """The configuration of a small deployment: one engine service and one plain one."""
+def config_spec(version=1, n_idle_routes=0):
+    """Return a small deployment's configuration, with more routes that nobody uses."""
 
     def route(prefix, kind, service, timeout_ms, aim_ms, attempts, resumes=False):
         return {
@@ -115,6 +116,10 @@
             route("/plan/", "streaming", "pool", 25_000, 4_500, 5, True),
             route("/book/", "non_idempotent", "desk", 1_000, 200, 1),
             route("/status/", "idempotent", "desk", 1_000, 200, 2),
+            *(
+                route(f"/idle{number}/", "idempotent", "desk", 1_000, 200, 2)
+                for number in range(n_idle_routes)
+            ),
         ],
         "services": [
             {
@@ -310,6 +315,7 @@
             router.link.stop()
         self.store.server.stop()
         self._record_file.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def send(self, router, path, method="POST", body=b"", deadline_ms=2_000,
                    request_id=None, key="key-a-1", headers=(), on_chunk=None):
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from urllib.parse import parse_qs, urlsplit
 
 from standins.http import Server
@@ -10,13 +11,23 @@
 
 
 class Store:
-    """Hold objects by kind and name; loses nothing, and is never impaired itself."""
+    """Hold objects by kind and name; loses nothing, and is never impaired itself.
 
-    def __init__(self, host, port):
+    `history_s` is how long changes are kept for watches, `stale_s` how old the data
+    is that a `serializable` read returns.
+    """
+
+    def __init__(self, host, port, history_s=20.0, stale_s=0.0):
         self.server = Server(host, port, self._handle)
         self.revision = 1
         self.objects = {}
         self.events = []
+        self.history_s = history_s
+        self.stale_s = stale_s
+        self.n_watched_bytes = 0
+        self._dropped_revision = 0
+        # Time, revision and the objects by kind as they were since then.
+        self._states = [(time.monotonic(), 1, {})]
         self._changed = asyncio.Event()
 
     def put(self, kind, name, spec):
@@ -47,7 +58,13 @@
         self._add_event(kind, item, False)
 
     def _add_event(self, kind, item, deleted):
-        self.events.append((self.revision, kind, {"object": item, "deleted": deleted}))
+        event = {"object": item, "deleted": deleted}
+        now_s = time.monotonic()
+        self.events.append((self.revision, kind, event, now_s))
+        kept = {of_kind: dict(found) for of_kind, found in self.objects.items()}
+        self._states.append((now_s, self.revision, kept))
+        while len(self._states) > 1 and self._states[1][0] < now_s - 60.0:
+            del self._states[0]
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -57,7 +74,7 @@
         path = parts.path.strip("/").split("/")
         kind, name = path[1], path[2] if len(path) > 2 else None
         if request.method == "GET" and name is None and "watch" in query:
-            status, body = 200, await self._watch(kind, query)
+            status, body = await self._watch(kind, query)
         elif request.method == "GET" and name is None:
             status, body = 200, self._list(kind, query)
         elif request.method == "GET":
@@ -69,21 +86,42 @@
         request.connection.respond(status, headers, json.dumps(body).encode())
 
     def _list(self, kind, query):
-        found = self.objects.get(kind, {})
+        revision, objects = self.revision, self.objects
+        if "serializable" in query and self.stale_s:
+            revision, objects = self._stale_state()
+        found = objects.get(kind, {})
         names = sorted(name for name in found if name > query.get("after-rev", ""))
         items = [found[name] for name in names[:500]]
         is_cut = len(names) > 500
-        return {"items": items, "truncated": is_cut, "current-rev": self.revision}
+        return {"items": items, "truncated": is_cut, "current-rev": revision}
+
+    def _stale_state(self):
+        until_s = time.monotonic() - self.stale_s
+        states = [item for item in self._states if item[0] <= until_s]
+        _, revision, objects = (states or self._states[:1])[-1]
+        return revision, objects
+
+    def _drop_history(self):
+        limit_s = time.monotonic() - self.history_s
+        while self.events and self.events[0][3] < limit_s:
+            self._dropped_revision = self.events.pop(0)[0]
 
     async def _watch(self, kind, query):
         since = int(query["watch"])
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(query.get("wait-ms", "0")) / 1000.0
         while True:
-            found = [x for at, of_kind, x in self.events if at > since and of_kind == kind]
+            self._drop_history()
+            if since < self._dropped_revision:
+                return 410, {}
+            found = [
+                event
+                for revision, of_kind, event, _ in self.events
+                if revision > since and of_kind == kind
+            ]
             left_s = end_s - loop.time()
             if found or left_s <= 0:
-                return {"events": found, "current-rev": self.revision}
+                return 200, {"events": found, "current-rev": self.revision}
             try:
                 await asyncio.wait_for(self._changed.wait(), left_s)
             except TimeoutError:
