--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -318,11 +318,11 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     async def send(self, router, path, method="POST", body=b"", deadline_ms=2_000,
-                   request_id=None, key="key-a-1", headers=(), on_chunk=None):
+                   request_id=None, key="key-a-1", headers=(), on_chunk=None, host=HOST):
         """Send one client attempt on a new channel; return its id and the answer."""
         request_id = request_id or f"{random.getrandbits(64):016x}"
         fields = [
-            ("Host", HOST),
+            ("Host", host),
             ("X-Attempt-Id", request_id),
             ("X-Deadline-Ms", str(deadline_ms)),
             ("X-Credential", key),
