--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -29,6 +29,8 @@
 
     `prefill_s` and `work_s` are the times before the first event and for a call.
     `is_poison` tells whether a request crashes the runner as it begins to run it.
+    A runner with `next_version` starts again under the id that it had, at that version
+    of its software.
     """
 
     n_boots = 0
@@ -41,6 +43,8 @@
         self.port = port
         self.kind = kind
         self.record = record
+        self.version = "v1"
+        self.next_version = ""
         self.slots = 64 if kind == "engine" else 6
         self.n_queue = 192 if kind == "engine" else 24
         # 5 prompt tokens are read in a ms; an event holds 5 tokens of about 7 ms.
@@ -68,7 +72,10 @@
 
     async def start(self):
         Runner.n_boots += 1
-        self.runner_id = f"i-{Runner.n_boots:06x}{self.port:04x}"
+        if self.runner_id and self.next_version:
+            self.version = self.next_version
+        else:
+            self.runner_id = f"i-{Runner.n_boots:06x}{self.port:04x}"
         self.born = int(time.time() * 1000)
         self.copies = {}
         self._n_running = self._n_waiting = 0
@@ -82,7 +89,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold-remaining-ms": 0,
@@ -100,9 +107,13 @@
         self.record(f"runner {self.runner_id} crashes")
         self._server.stop()
         loop = asyncio.get_running_loop()
-        loop.call_later(3.6, self.fleet.store.delete, "servers", self.runner_id)
+        loop.call_later(3.6, self._expire, self.runner_id)
         loop.call_later(self.restart_s, self._restart)
 
+    def _expire(self, runner_id):
+        if not self.is_up or self.runner_id != runner_id:
+            self.fleet.store.delete("servers", runner_id)
+
     def _restart(self):
         if not self.is_closing:
             self.fleet.spawn(self.start())
@@ -182,7 +193,7 @@
             if connection.is_closed or connection.reader.at_eof() or not self.is_up:
                 arrival.state = "cut"
                 return
-            event = f"id: {number}\ndata: {arrival.target} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {self.version} {number}\n\n".encode()
             connection.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             if keeper is not None and keeper.is_up:
                 keeper.copies[arrival.request_id] = number
