--- a/review/1/case.py
+++ b/review/1/case.py
@@ -79,9 +79,7 @@
     """Return the ids of the requests that were sent after the route had moved."""
     killed, *left = [item for item in fleet.routers if item.zone == ZONE]
     parts = [f"{5_000 + number:08x}" for number in range(N_MOVED)]
-    sending = [
-        fleet.spawn(send_brief(fleet, killed, HOST, part)) for part in parts
-    ]
+    sending = [fleet.spawn(send_brief(fleet, killed, HOST, part)) for part in parts]
     await asyncio.sleep(2.0)
     if TROUBLE:
         fleet.record("operator: the route moves to pool-b")
@@ -90,9 +88,7 @@
         fleet.record(f"{killed.name} is killed")
         await killed.kill()
     await asyncio.gather(*sending)
-    again = [
-        send_brief(fleet, random.choice(left), HOST, part) for part in parts
-    ]
+    again = [send_brief(fleet, random.choice(left), HOST, part) for part in parts]
     return set(await asyncio.gather(*again))
 
 
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -189,7 +189,9 @@
             )
         )
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["BRONZELINE_SETTINGS"] = str(self._path)
@@ -317,8 +319,19 @@
         self._record_file.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    async def send(self, router, path, method="POST", body=b"", deadline_ms=2_000,
-                   request_id=None, key="key-a-1", headers=(), on_chunk=None, host=HOST):
+    async def send(
+        self,
+        router,
+        path,
+        method="POST",
+        body=b"",
+        deadline_ms=2_000,
+        request_id=None,
+        key="key-a-1",
+        headers=(),
+        on_chunk=None,
+        host=HOST,
+    ):
         """Send one client attempt on a new channel; return its id and the answer."""
         request_id = request_id or f"{random.getrandbits(64):016x}"
         fields = [
@@ -357,7 +370,11 @@
     for _ in range(50):
         base = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
         try:
-            for host, port in ((f"{base}.1", FRONT), (f"{base}.200", STORE), (f"{base}.1", 9464)):
+            for host, port in (
+                (f"{base}.1", FRONT),
+                (f"{base}.200", STORE),
+                (f"{base}.1", 9464),
+            ):
                 with socket.socket() as probe:
                     probe.bind((host, port))
         except OSError:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -138,7 +138,10 @@
         if request.method != "POST" and known is None:
             return 404, {}
         expected = body.get("metadata", {}).get("revision")
-        if request.method == "PUT" and expected not in (None, known["metadata"]["revision"]):
+        if request.method == "PUT" and expected not in (
+            None,
+            known["metadata"]["revision"],
+        ):
             return 409, known
         if request.method == "DELETE":
             self.delete(kind, name)
