--- a/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -22,11 +22,14 @@
     """Return the log fields that tell where an attempt goes, and why."""
     return {
         "number": action.number,
+        "host": request.host,
+        "service": action.upstream.service,
         "upstream_id": action.upstream.upstream_id,
         "version": action.upstream.version,
         "budget_ms": round(action.budget_ms),
         "after_event": action.after_event,
         "copy_from": _id_of(action.copy_from.keeper if action.copy_from else None),
+        "copy_id": action.copy_from.copy_id if action.copy_from else "",
         "copy_to": _id_of(action.copy_to),
         "copy_version": action.copy_to.version if action.copy_to else "",
         "resumes": request.resumes_id,
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -228,6 +228,7 @@
         self.context.metrics.attempt_sent(attempt_origin(action))
         self._log.info(
             "attempt_sent",
+            request_hash=self._request_hash,
             **attempt_fields(self.request, action, self._machine.budget.n_left),
             **self.attempt_fields(),
         )
