Tell requests apart by all that may change where they run and what comes out

Cause: request_hash covered target, key, prompt parts and body. Requests that differ in host, method, model, token usage or another forwarded header had one hash, and all that is known by it: records of runs, the search for them, origins of streams, blocks and the evidence of crashes.

Change: RequestIdentity has two hashes. run_hash covers method, host, target, key, model, prompt parts, body and each forwarded header but those that vary from send to send; records of runs and origins use it. work_hash leaves out the headers that do not change what an engine reads, so that a request that crashes engines is known though its caller alters them; blocks and crashes use it.

--- a/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/call_relay.py
@@ -9,6 +9,7 @@
     CallerRequest,
     CallRun,
     Fault,
+    RequestIdentity,
     ResponseHead,
     WorkspaceKeys,
 )
@@ -26,9 +27,9 @@
         request: CallerRequest,
         workspace: WorkspaceKeys | None,
         response: CallerResponse,
-        hash_of_request: str,
+        identity: RequestIdentity,
     ) -> None:
-        super().__init__(context, run, request, workspace, response, hash_of_request)
+        super().__init__(context, run, request, workspace, response, identity)
         self._run = run
 
     def on_head(self, number: int, head: ResponseHead) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -34,6 +34,7 @@
     FindEarlierRun,
     Finish,
     Probe,
+    RequestIdentity,
     ResponseHead,
     Send,
     WorkspaceKeys,
@@ -66,7 +67,7 @@
         request: CallerRequest,
         workspace: WorkspaceKeys | None,
         response: CallerResponse,
-        hash_of_request: str,
+        identity: RequestIdentity,
     ) -> None:
         self.context = context
         self.request = request
@@ -79,7 +80,7 @@
         self.is_waiting_for_caller = False
         self._started_at_ms = context.clock.now_ms()
         self._upstream_id = ""
-        self._request_hash = hash_of_request
+        self._identity = identity
         self._log = RequestLog(context.logs, request.request_id)
         self.first_event_ms = 0.0
         self.longest_gap_ms = 0.0
@@ -130,13 +131,13 @@
                 case FindEarlierRun(upstreams):
                     self.context.earlier_runs.find(
                         self.request,
-                        self._request_hash,
+                        self._identity.run_hash,
                         upstreams,
                         self.on_earlier_run_search_ended,
                     )
                 case Finish(number):
                     self.finish(number)
-                    self.context.quarantine.request_completed(self._request_hash)
+                    self.context.quarantine.request_completed(self._identity.work_hash)
                     self._report_end(SERVED, "")
                 case Fail():
                     self._fail(action)
@@ -228,7 +229,7 @@
         self.context.metrics.attempt_sent(attempt_origin(action))
         self._log.info(
             "attempt_sent",
-            request_hash=self._request_hash,
+            run_hash=self._identity.run_hash,
             **attempt_fields(self.request, action, self._machine.budget.n_left),
             **self.attempt_fields(),
         )
@@ -286,7 +287,7 @@
         if fault is Fault.BROKEN:
             check = DeathCheck(
                 self.context,
-                self._request_hash,
+                self._identity.work_hash,
                 self.unanswered_parts(),
                 self.on_upstream_died,
             )
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -36,6 +36,7 @@
     Quarantine,
     Refusal,
     Refused,
+    RequestIdentity,
     ResponseHead,
     ResponseLimits,
     RunDirectory,
@@ -50,7 +51,7 @@
     Zone,
     admit,
     allowed_time_ms,
-    request_hash,
+    identify,
 )
 from bronzeline_kernel.protocols import Clock
 
@@ -142,21 +143,21 @@
     def handle(self, request: CallerRequest, response: CallerResponse) -> None:
         """Refuse or forward one request; the response may follow later."""
         now_ms = self._clock.now_ms()
-        hash_of_request = request_hash(request)
+        identity = identify(request)
         admitted = admit(self._view, request, now_ms, self.stop_plan)
-        block = self._find_block(request, hash_of_request)
+        block = self._find_block(request, identity)
         if isinstance(admitted, Admitted) and block is not None:
             reason = f"ends engines: {' '.join(block.keys)}"
             admitted = Refused(Refusal.QUARANTINED, reason, block.remaining_ms)
         if isinstance(admitted, Refused):
-            self._refuse(request, hash_of_request, admitted, response)
+            self._refuse(request, identity, admitted, response)
         else:
-            self._forward(request, hash_of_request, admitted, response, now_ms)
+            self._forward(request, identity, admitted, response, now_ms)
 
     def _refuse(
         self,
         request: CallerRequest,
-        hash_of_request: str,
+        identity: RequestIdentity,
         refused: Refused,
         response: CallerResponse,
     ) -> None:
@@ -172,7 +173,7 @@
             reason=refused.reason,
             configuration_version=self._view.version,
             lease_age_ms=self._lease_age_ms(),
-            request_hash=hash_of_request,
+            request_hash=identity.work_hash,
         )
 
     def _n_engines(self, zone: Zone) -> int:
@@ -207,7 +208,7 @@
     def _forward(
         self,
         request: CallerRequest,
-        hash_of_request: str,
+        identity: RequestIdentity,
         admitted: Admitted,
         response: CallerResponse,
         now_ms: float,
@@ -223,7 +224,7 @@
             binding = StreamBinding(
                 request,
                 route,
-                hash_of_request,
+                identity.run_hash,
                 self._view.upstreams,
                 self.placement.prompts,
                 self.origins,
@@ -234,10 +235,8 @@
                 self.placement,
                 budget,
                 deadline_ms,
-                find_copy=lambda at_ms: self._runs.pop_copy(hash_of_request, at_ms),
-                is_blocked=lambda: (
-                    self._find_block(request, hash_of_request) is not None
-                ),
+                find_copy=lambda at_ms: self._runs.pop_copy(identity.run_hash, at_ms),
+                is_blocked=lambda: self._find_block(request, identity) is not None,
                 on_answered=lambda: self.quarantine.prompt_answered(
                     request.shared_part_ids, self._clock.now_ms()
                 ),
@@ -248,12 +247,12 @@
                 request,
                 workspace,
                 response,
-                hash_of_request,
+                identity,
             )
         else:
             call = CallRun(route, service, self.placement, budget, deadline_ms)
             relay = CallRelay(
-                self._relay_context, call, request, workspace, response, hash_of_request
+                self._relay_context, call, request, workspace, response, identity
             )
         relay.start(lambda report: self._on_request_ended(route.kind, report))
 
@@ -262,8 +261,10 @@
         self._logs.report_dropped()
         self.placement.prune(self._clock.now_ms())
 
-    def _find_block(self, request: CallerRequest, hash_of_request: str) -> Block | None:
-        keys = self.quarantine.keys(request, hash_of_request)
+    def _find_block(
+        self, request: CallerRequest, identity: RequestIdentity
+    ) -> Block | None:
+        keys = self.quarantine.keys(request, identity)
         return self.quarantine.find(keys, self._clock.now_ms())
 
     def _on_request_ended(self, kind: WorkKind, report: RequestReport) -> None:
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -15,6 +15,7 @@
     CallerRequest,
     CopySource,
     Fault,
+    RequestIdentity,
     ResponseHead,
     RunRecord,
     StreamEnd,
@@ -46,9 +47,9 @@
         request: CallerRequest,
         workspace: WorkspaceKeys | None,
         response: CallerResponse,
-        hash_of_request: str,
+        identity: RequestIdentity,
     ) -> None:
-        super().__init__(context, run, request, workspace, response, hash_of_request)
+        super().__init__(context, run, request, workspace, response, identity)
         self._run = run
         run.binding.on_began = lambda origin: self._share_origin(self.now_ms())
         self._splitters: dict[int, EventSplitter] = {}
@@ -216,7 +217,7 @@
         self._shared_copy, self._shared_at_ms = copy, now_ms
         self.context.peers.share_run(
             RunRecord(
-                self._request_hash,
+                self._identity.run_hash,
                 copy.keeper.upstream_id,
                 copy.named_by.upstream_id,
                 copy.copy_id,
@@ -236,7 +237,7 @@
     def after_end(self) -> None:
         """Report to peers the end of a run whose response is complete."""
         if self._shared_copy is not None and not self.response.is_incomplete:
-            self.context.peers.end_run(self._request_hash)
+            self.context.peers.end_run(self._identity.run_hash)
 
     def on_upstream_died(self) -> None:
         """Count a death among the upstreams that died in a row."""
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -106,6 +106,10 @@
     Quarantine,
     QuarantineMessage,
 )
+from bronzeline_kernel.forwarding.request_identity import (
+    RequestIdentity,
+    identify,
+)
 from bronzeline_kernel.forwarding.request_quarantine import (
     EngineLost,
     QuarantinedRequest,
@@ -121,7 +125,6 @@
 from bronzeline_kernel.forwarding.run_directory import (
     RunDirectory,
     RunRecord,
-    request_hash,
 )
 from bronzeline_kernel.forwarding.service_versions import (
     ServiceVersions,
@@ -236,6 +239,7 @@
     "QuarantinedRequest",
     "Refusal",
     "Refused",
+    "RequestIdentity",
     "RequestQuarantine",
     "RequestQuarantineOptions",
     "ResponseBudget",
@@ -291,8 +295,8 @@
     "admit",
     "allowed_time_ms",
     "find_parent",
+    "identify",
     "part_key",
-    "request_hash",
     "request_key",
     "stream_limits",
 ]
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -44,12 +44,15 @@
     # Id of the caller's request that got the first event of the stream, if named.
     resumes_id: str = ""
     n_prompt_tokens: int = 0
+    model: str = ""
     prompt_parts: str = ""
     # Id of the part of the prompt that is not shared with other requests.
     unique_part_id: str = ""
     n_unique_tokens: int = 0
     # Ids of the parts before it, which other requests may share.
     shared_part_ids: tuple[str, ...] = ()
+    # Forwarded headers that are the same each time the request is sent.
+    stable_headers: tuple[Header, ...] = ()
 
     @property
     def path(self) -> str:
--- a/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
@@ -14,6 +14,7 @@
 )
 from bronzeline_kernel.forwarding.messages import CallerRequest
 from bronzeline_kernel.forwarding.part_blame import BlamedParts, PartBlame, PromptLost
+from bronzeline_kernel.forwarding.request_identity import RequestIdentity
 from bronzeline_kernel.forwarding.request_quarantine import (
     EngineLost,
     RequestQuarantine,
@@ -86,10 +87,10 @@
         self._answered: set[str] = set()
 
     @staticmethod
-    def keys(request: CallerRequest, request_hash: str) -> tuple[str, ...]:
+    def keys(request: CallerRequest, identity: RequestIdentity) -> tuple[str, ...]:
         """Return what a block may name of a request."""
         part_keys = map(part_key, request.shared_part_ids)
-        return request_key(request_hash), *part_keys
+        return request_key(identity.work_hash), *part_keys
 
     def find(self, keys: Collection[str], now_ms: float) -> Block | None:
         """Return a block that refuses a request with these keys, or None."""
--- a/packages/kernel/bronzeline_kernel/forwarding/route_table.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/route_table.py
@@ -11,7 +11,7 @@
     WorkspaceKeys,
 )
 
-__all__ = ["RouteTable"]
+__all__ = ["RouteTable", "host_name"]
 
 
 class RouteTable:
@@ -35,7 +35,7 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, None if none does."""
-        by_prefix = self._routes.get(_host_name(host))
+        by_prefix = self._routes.get(host_name(host))
         if by_prefix is None:
             return None
         end = path.rfind("/")
@@ -65,5 +65,6 @@
         return random.choices(shares, weights)[0].service
 
 
-def _host_name(host: str) -> str:
+def host_name(host: str) -> str:
+    """Return a Host header without its port, in lowercase."""
     return host.partition(":")[0].lower()
--- a/packages/kernel/bronzeline_kernel/forwarding/run_directory.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/run_directory.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from hashlib import blake2b
 
-from bronzeline_kernel.forwarding.messages import CallerRequest, CopySource
+from bronzeline_kernel.forwarding.messages import CopySource
 from bronzeline_kernel.forwarding.upstream_set import UpstreamSet
 
-__all__ = ["RunDirectory", "RunRecord", "request_hash"]
+__all__ = ["RunDirectory", "RunRecord"]
 
-HASH_BYTES = 12
 # A copy is freed a little more than 4 s after its last update, so the copy of a
 # record that was not renewed for this long no longer exists.
 MAX_RECORD_AGE_MS = 5_000.0
@@ -60,13 +58,3 @@
         if keeper is None or named_by is None:
             return None
         return CopySource(keeper, named_by, record.copy_id)
-
-
-def request_hash(request: CallerRequest) -> str:
-    """Return a hash of a request that does not change when the request is resent."""
-    digest = blake2b(digest_size=HASH_BYTES)
-    for part in (request.target, request.key or "", request.prompt_parts):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(request.body)
-    return digest.hexdigest()
