Send each attempt where the configuration in force leads its request

Cause: where a request goes on was decided from the route at its arrival, or from a peer's record alone: the service of a copy's holder was not compared with the route while the stream had no event, and the service of a resend, a retry or a hedge was that of the first attempt. A stream taken up after its route had moved was worse: the record of where it began was set aside, and the only version of the new service was taken for the stream's own, so that events of two services were joined.

Change: RequestRoute alone decides to which services a request may be sent, by the configuration in force; return, resend, copy, retry and hedge ask it, streams through their binding. A response that has begun goes on at its service: a change of the configuration cuts no stream. A stream that is taken up and whose service has left the route is refused, as no upstream can continue it. A removed route leads on for what it admitted.

--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -37,8 +37,10 @@
     Refusal,
     Refused,
     RequestIdentity,
+    RequestRoute,
     ResponseHead,
     ResponseLimits,
+    Route,
     RunDirectory,
     StopPlan,
     StreamBinding,
@@ -214,16 +216,17 @@
         now_ms: float,
     ) -> None:
         route, workspace = admitted.route, admitted.workspace
-        table = self._view.table
-        assert table is not None
-        service = table.choose_service(route, self._random)
+        request_route = RequestRoute(
+            route, lambda: self._find_route(request), self._random
+        )
+        service = request_route.next_service()
         budget = self._budgets.budget(service, self.peers.n_routers)
         deadline_ms = now_ms + allowed_time_ms(request, route)
         self.n_running += 1
         if route.kind is WorkKind.STREAM:
             binding = StreamBinding(
                 request,
-                route,
+                request_route,
                 identity.run_hash,
                 self._view.upstreams,
                 self.placement.prompts,
@@ -250,12 +253,24 @@
                 identity,
             )
         else:
-            call = CallRun(route, service, self.placement, budget, deadline_ms)
+            call = CallRun(
+                route,
+                service,
+                self.placement,
+                budget,
+                deadline_ms,
+                next_service=request_route.next_service,
+            )
             relay = CallRelay(
                 self._relay_context, call, request, workspace, response, identity
             )
         relay.start(lambda report: self._on_request_ended(route.kind, report))
 
+    def _find_route(self, request: CallerRequest) -> Route | None:
+        """Return the route of the configuration in force, None if there is none."""
+        table = self._view.table
+        return table.find(request.host, request.path) if table else None
+
     def run_maintenance(self) -> None:
         """Log how many lines were dropped, and remove stale records."""
         self._logs.report_dropped()
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -116,6 +116,7 @@
     RequestQuarantine,
     RequestQuarantineOptions,
 )
+from bronzeline_kernel.forwarding.request_route import RequestRoute
 from bronzeline_kernel.forwarding.response_budget import (
     ResponseBudget,
     ResponseBuffer,
@@ -242,6 +243,7 @@
     "RequestIdentity",
     "RequestQuarantine",
     "RequestQuarantineOptions",
+    "RequestRoute",
     "ResponseBudget",
     "ResponseBuffer",
     "ResponseHead",
--- a/packages/kernel/bronzeline_kernel/forwarding/call_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/call_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bronzeline_kernel.admission import RetryBudget
@@ -50,6 +51,8 @@
     budget: RetryBudget
     deadline_ms: float
     options: CallOptions = field(default_factory=CallOptions)
+    # Returns the service of the next attempt, given that of the last one.
+    next_service: Callable[[str], str] = lambda former: former
     is_over: bool = False
     started_at_ms: float = 0.0
     n_sent: int = 0
@@ -164,6 +167,7 @@
         """Choose an upstream for a second, concurrent attempt, if one is allowed."""
         if not self.route.is_repeatable or self.n_reached >= self.route.max_attempts:
             return None
+        self.service = self.next_service(self.service)
         in_use = {item.incarnation for item in self._open.values()}
         choice = self.placement.choose_for_call(
             self.service, now_ms, self._tried | in_use
@@ -185,6 +189,7 @@
 
     def _send(self, now_ms: float) -> list[Action]:
         """Send the call to an upstream not tried yet, or to any if all were tried."""
+        self.service = self.next_service(self.service)
         choice = self.placement.choose_for_call(self.service, now_ms, self._tried)
         if choice is None and self._tried:
             choice = self.placement.choose_for_call(self.service, now_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/route_table.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/route_table.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from random import Random
-
 from bronzeline_kernel.forwarding.config import (
     ForwardingConfig,
     Route,
@@ -54,16 +52,6 @@
         """Return the configuration of a service, None if it is unknown."""
         return self._services.get(name)
 
-    def choose_service(self, route: Route, random: Random) -> str:
-        """Choose one of a route's services at random by weight."""
-        shares = route.shares
-        if len(shares) == 1:
-            return shares[0].service
-        weights = [max(0.0, item.weight) for item in shares]
-        if not sum(weights):
-            return shares[0].service
-        return random.choices(shares, weights)[0].service
-
 
 def host_name(host: str) -> str:
     """Return a Host header without its port, in lowercase."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from bronzeline_kernel.forwarding.config import Route
 from bronzeline_kernel.forwarding.messages import CallerRequest
 from bronzeline_kernel.forwarding.prompt_index import PromptIndex
+from bronzeline_kernel.forwarding.request_route import RequestRoute
 from bronzeline_kernel.forwarding.stream_origins import StreamOrigin, StreamOrigins
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
 
@@ -33,12 +33,13 @@
 class StreamBinding:
     """Decide at which upstreams a stream may go on; every way to go on asks here.
 
-    What two versions write does not fit together. A stream of which the caller has no
-    event may begin at any version.
+    What two services or two versions write does not fit together. A stream of which the
+    caller has no event may begin at any version, where its route leads. A response that
+    has begun goes on at its service, also once its route has moved.
     """
 
     request: CallerRequest
-    route: Route
+    route: RequestRoute
     request_hash: str
     upstreams: UpstreamSet
     prompts: PromptIndex
@@ -47,6 +48,10 @@
     on_began: Callable[[StreamOrigin], None] = lambda origin: None
     origin: StreamOrigin | None = None
     proof: VersionProof = VersionProof.NONE
+    # Whether the caller got an event of this response.
+    has_begun: bool = False
+    # Whether the stream began at a service to which its route does not lead now.
+    has_moved: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -60,6 +65,7 @@
 
     def began(self, upstream: ListedUpstream, now_ms: float) -> None:
         """Bind the stream to the upstream that made the caller's first event."""
+        self.has_begun = True
         if not self.is_open:
             return
         self.proof = VersionProof.OWN
@@ -78,10 +84,9 @@
         """Find out at which version a stream that is taken up began."""
         if not self.is_unproven:
             return
-        self.origin = self._find_record(now_ms)
-        if self.origin is not None:
-            self.proof = VersionProof.RECORD
-            self.origins.record(self.origin, now_ms)
+        record = self.origins.find(self.request.resumes_id, self.request_hash, now_ms)
+        if record is not None:
+            self._accept_record(record, now_ms)
             return
         version = self._only_version(service, now_ms)
         proof = VersionProof.ONLY_VERSION
@@ -97,7 +102,9 @@
                 self.origins.record(self.origin, now_ms)
 
     def allows(self, upstream: ListedUpstream) -> bool:
-        """Return whether the stream may run at an upstream."""
+        """Return whether the stream may run at an upstream now."""
+        if not self.has_begun and not self._leads_to(upstream.service):
+            return False
         origin = self.origin
         if origin is None:
             return self.is_open
@@ -108,6 +115,15 @@
         version = origin.version or self._version_of_origin(origin)
         return bool(version) and upstream.version == version
 
+    def _leads_to(self, service: str) -> bool:
+        """Return whether the configuration in force lets the stream run at a service.
+
+        A stream that is taken up can't go on at another one.
+        """
+        if self.is_open:
+            return self.route.leads_to(service)
+        return self.route.names(service)
+
     def _version_of_origin(self, origin: StreamOrigin) -> str:
         """Return a version that was not known when the stream began."""
         listed = self.upstreams.get(origin.upstream_id)
@@ -115,16 +131,18 @@
             return ""
         return listed.version
 
-    def _find_record(self, now_ms: float) -> StreamOrigin | None:
-        origin = self.origins.find(self.request.resumes_id, self.request_hash, now_ms)
-        if origin is None:
-            return None
-        is_of_route = any(item.service == origin.service for item in self.route.shares)
-        return origin if is_of_route else None
+    def _accept_record(self, record: StreamOrigin, now_ms: float) -> None:
+        """Bind the stream to where it began, if its route still leads there."""
+        self.has_moved = not self.route.names(record.service)
+        if self.has_moved:
+            return
+        self.origin = record
+        self.proof = VersionProof.RECORD
+        self.origins.record(record, now_ms)
 
     def _only_version(self, service: str, now_ms: float) -> str:
         """Return the only version of the only service that may have begun it."""
-        if len(self.route.shares) > 1:
+        if len(self.route.current.shares) > 1:
             return ""
         return self.upstreams.versions.only(service, now_ms)
 
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -79,7 +79,7 @@
     @property
     def route(self) -> Route:
         """Return the route of the request."""
-        return self.binding.route
+        return self.binding.route.admitted
 
     @property
     def has_delivered(self) -> bool:
@@ -106,7 +106,7 @@
             return []
         self._search_deadline_ms = None
         if self._is_unproven(now_ms):
-            return self._fail_lost("software version unknown")
+            return self._fail_unproven()
         return self._resume_earlier_run(now_ms) or self._send_prompt(now_ms)
 
     def bind(self, number: int, now_ms: float) -> None:
@@ -404,6 +404,7 @@
         return self.placement.prompt_list_candidates(self.service, now_ms)
 
     def _send_prompt(self, now_ms: float) -> list[Action]:
+        self._follow_route()
         request = self.request
         prompt = Prompt(request.unique_part_id, request.n_prompt_tokens)
         choice = self._choose(prompt, now_ms)
@@ -419,6 +420,11 @@
             return self._fail_too_late("too little time for the prompt", now_ms)
         return [self._send(choice.upstream, now_ms, choice=choice)]
 
+    def _follow_route(self) -> None:
+        """Send a stream that has not begun where the configuration in force leads."""
+        if self.binding.is_open:
+            self.service = self.binding.route.next_service(self.service)
+
     def _choose(self, prompt: Prompt, now_ms: float) -> Choice | None:
         return self.placement.choose_for_stream(
             self.service,
@@ -521,6 +527,12 @@
         failure = Failure.UNKNOWN_OUTCOME if is_run else Failure.NOT_RUN
         return self._fail(failure, reason)
 
+    def _fail_unproven(self) -> list[Action]:
+        """End a stream that no upstream is certain to continue."""
+        if self.binding.has_moved:
+            return self._fail_lost("its service has left the route")
+        return self._fail_lost("software version unknown")
+
     def _fail_blocked(self) -> list[Action]:
         """End a request that was blocked meanwhile, before it ends another engine."""
         failure = Failure.UNKNOWN_OUTCOME if self.n_sent else Failure.NOT_RUN
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/call_run_tests.py
@@ -20,6 +20,7 @@
     fleet,
     placement,
     route,
+    upstream,
 )
 
 DEADLINE_MS = 1_200.0
@@ -69,6 +70,19 @@
         if failure is Failure.NOT_RUN:
             self.assertGreater(action.retry_after_ms, 0.0)
 
+    @params(("retry", ORDER), ("hedge", STATUS))
+    def test_a_second_attempt_follows_the_route(self, way, call_route):
+        """It was sent to the service of the route at the call's arrival."""
+        run, _ = call(call_route)
+        other = upstream("other", service="other")
+        run.placement.upstreams.put(other)
+        run.next_service = lambda former: "other"
+        if way == "retry":
+            (sent,) = run.lost(1, Fault.UNREACHABLE, 10.0)
+        else:
+            (sent,) = run.tick(0.5 * call_route.target_latency_ms)
+        self.assertEqual(sent.upstream, other)
+
     @given(st.lists(st.sampled_from(Fault), max_size=12), st.booleans())
     def test_non_idempotent_call_reaches_one_upstream_at_most(
         self, faults, is_answered
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
@@ -11,6 +11,7 @@
     Fail,
     Failure,
     Fault,
+    RequestRoute,
     Send,
     StreamRun,
     UpstreamNotice,
@@ -175,8 +176,11 @@
     def test_rests_of_the_others_do_not_delay_who_finds_an_upstream_full(self, kind):
         self.say(resting(30_000.0), "zone-a-0", "zone-b-0")
         run, (send,) = self.start(0.0, kind=kind)
-        owner = run.binding if kind is WorkKind.STREAM else run
-        owner.route = route(kind, max_attempts=1)
+        once = route(kind, max_attempts=1)
+        if kind is WorkKind.STREAM:
+            run.binding.route = RequestRoute(once)
+        else:
+            run.route = once
         (fail,) = run.lost(send.number, Fault.FULL, 20.0)
         self.assertEqual(fail.retry_after_ms, run.options.retry_after_ms)
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/route_table_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/route_table_tests.py
@@ -1,10 +1,8 @@
 import unittest
-from collections import Counter
-from random import Random
 
 from nose2.tools import params
 
-from bronzeline_kernel.forwarding import RouteTable, ServiceShare
+from bronzeline_kernel.forwarding import RouteTable
 from bronzeline_kernel.tests.forwarding.samples import config, route
 
 
@@ -41,14 +39,3 @@
     def test_finds_workspace_by_key(self, key, name):
         result = self.table.find_workspace(key)
         self.assertEqual(result.name if result else None, name)
-
-    @params(((1.0,), {0}), ((0.0, 1.0), {1}), ((0.0, 0.0), {0}), ((1.0, 1.0), {0, 1}))
-    def test_chooses_service_by_weight(self, weights, expected):
-        shares = tuple(
-            ServiceShare(str(number), weight) for number, weight in enumerate(weights)
-        )
-        weighted_route, random = route(shares=shares), Random(1)
-        chosen = Counter(
-            self.table.choose_service(weighted_route, random) for _ in range(100)
-        )
-        self.assertEqual({int(name) for name in chosen}, expected)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
@@ -8,6 +8,7 @@
     ForwardingConfig,
     ListedUpstream,
     Placement,
+    RequestRoute,
     Route,
     ServiceShare,
     StreamBinding,
@@ -103,7 +104,7 @@
 def binding(of_request, of_route, of_placement):
     return StreamBinding(
         of_request,
-        of_route,
+        RequestRoute(of_route),
         identify(of_request).run_hash,
         of_placement.upstreams,
         of_placement.prompts,
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_binding_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_binding_tests.py
@@ -8,6 +8,7 @@
     Fail,
     Failure,
     Fault,
+    RequestRoute,
     ServiceShare,
     ServiceVersions,
     StreamOrigin,
@@ -89,6 +90,35 @@
         result.origins.put(origin("v2"), 0.0)
         self.assertEqual(self.resolve(result)[0], VersionProof.NONE)
 
+    def test_an_open_stream_runs_only_where_its_route_leads(self):
+        """The holder of a peer's copy was not compared with the route."""
+        result = self.bind(route(shares=(ServiceShare("other", 1.0),)))
+        self.assertFalse(result.allows(self.v1))
+
+    @params(("before its first event", False), ("after it", True))
+    def test_a_response_that_has_begun_goes_on_at_its_service(self, case, is_allowed):
+        result = self.bind()
+        if is_allowed:
+            result.began(self.v1, 0.0)
+        moved = route(shares=(ServiceShare("other", 1.0),))
+        result.route = RequestRoute(route(), lambda: moved)
+        self.assertEqual(result.allows(self.v1), is_allowed)
+
+    @params({"other": 1.0}, {"other": 1.0, ENGINES: 0.0}, {})
+    def test_a_stream_that_is_taken_up_is_not_joined_with_another_service(self, moved):
+        """The only version of the new service was taken for the stream's own."""
+        self.placement = placement([*mixed("v1"), upstream("x", service="other")])
+        result = self.bind(**TAKEN_UP)
+        result.origins.put(origin("v1"), 0.0)
+        shares = tuple(ServiceShare(*item) for item in moved.items())
+        in_force = route(shares=shares) if moved else None
+        result.route = RequestRoute(route(), lambda: in_force)
+        result.resolve("other", 0.0)
+        stays = ENGINES in moved or not moved
+        self.assertEqual(result.proof is VersionProof.RECORD, stays)
+        self.assertEqual((result.allows(self.v1), result.has_moved), (stays, not stays))
+        self.assertFalse(result.allows(upstream("x", service="other")))
+
     def test_the_only_version_proves_itself(self):
         self.placement = placement(mixed("v1"))
         result = self.bind(**TAKEN_UP)
@@ -187,6 +217,42 @@
         (send,) = run.earlier_run_search_ended(90.0)
         self.assertEqual((send.upstream.version, send.copy_from), ("v1", None))
 
+    def test_a_peers_copy_at_a_service_that_the_route_left_is_not_used(self):
+        """A request sent again after its route moved ran at the old service."""
+        self.start()
+        run = self.driver.run
+        other = upstream("other", service="other")
+        other_placement = placement([*mixed("v1"), other])
+        moved = route(shares=(ServiceShare("other", 1.0),))
+        again = Driver(request=run.request, route=moved).run
+        again.placement = other_placement
+        again.binding = binding(run.request, moved, other_placement)
+        again.service = "other"
+        holder = upstream("zone-b-v1", "zone-b")
+        again.find_copy = lambda now_ms: CopySource(holder, holder, "id-1")
+        (send,) = again.start(0.0)
+        self.assertEqual((send.upstream, send.copy_from), (other, None))
+
+    def test_a_stream_that_has_not_begun_follows_its_route(self):
+        """It was sent again to the service of the route at its arrival."""
+        self.start()
+        run = self.driver.run
+        other = upstream("other", service="other")
+        run.placement.upstreams.put(other)
+        moved = route(shares=(ServiceShare("other", 1.0),))
+        run.binding.route = RequestRoute(route(), lambda: moved)
+        sent = self.driver.fail_attempt(1, Fault.BROKEN)[-1]
+        self.assertEqual((sent.upstream, run.service), (other, "other"))
+
+    def test_a_stream_whose_service_left_the_route_ends_after_the_search(self):
+        self.start(**TAKEN_UP)
+        run = self.driver.run
+        run.binding.origins.put(origin("v1"), 0.0)
+        moved = route(shares=(ServiceShare("other", 1.0),))
+        run.binding.route = RequestRoute(route(), lambda: moved)
+        (failed,) = run.earlier_run_search_ended(90.0)
+        self.assertEqual(failed.reason, "its service has left the route")
+
     def test_copies_are_placed_at_the_same_version(self):
         for _ in range(20):
             send = self.start()
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -10,6 +10,7 @@
     Fault,
     FindEarlierRun,
     Finish,
+    RequestRoute,
     Send,
 )
 from bronzeline_kernel.tests.forwarding.samples import (
@@ -234,8 +235,10 @@
         fields = {"unique_part_id": "own", **request_fields}
         driver = Driver(request=request(**fields))
         for name, value in run_fields.items():
-            owner = driver.run.binding if name == "route" else driver.run
-            setattr(owner, name, value)
+            if name == "route":
+                driver.run.binding.route = RequestRoute(value)
+            else:
+                setattr(driver.run, name, value)
         first = driver.start()
         self.assertEqual(isinstance(first, FindEarlierRun), is_searched)
         self.assertEqual(isinstance(first, Send), not is_searched)
