Remember to which services routes led before a stream is taken up

What callers would see: after a route has moved, a stream that is taken up at another router than the one that began it goes on at the new service, and its events are joined with those of the old one.

Cause: without a record, the only version of the route's service counts as proof of where a stream began, and routers did not know that the route had led elsewhere. Records were sent to peers only while a service had several versions.

Change: a router remembers for a minute which services its routes have left, by host and path prefix, also where a longer prefix is added or removed. The only version proves where a stream began only if the route has led to one service all the while; otherwise the origin is recorded at peers, also for routes with several services.

Open: a router that has just started knows no former routes.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -258,7 +258,7 @@
     def _apply_config(
         self, config: ForwardingConfig, peer: RouterEntry | None = None
     ) -> None:
-        is_applied = self._view.apply_config(config)
+        is_applied = self._view.apply_config(config, self._clock.now_ms())
         log_event(
             "configuration_taken" if is_applied else "configuration_declined",
             version=config.version,
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -21,7 +21,6 @@
     ListedUpstream,
     Quarantine,
     ResponseHead,
-    ServiceVersions,
     WireFormat,
 )
 from bronzeline_kernel.protocols import Clock
@@ -75,7 +74,6 @@
     earlier_runs: EarlierRunFinder
     peers: ForwardingPeers
     origins: OriginExchange
-    versions: ServiceVersions
     quarantine: Quarantine
     logs: LogLimiter
     metrics: ForwardingMetrics
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -127,7 +127,6 @@
             ),
             self.peers,
             origin_exchange,
-            view.upstreams.versions,
             self.quarantine,
             self._logs,
             self.metrics,
@@ -217,7 +216,12 @@
     ) -> None:
         route, workspace = admitted.route, admitted.workspace
         request_route = RequestRoute(
-            route, lambda: self._find_route(request), self._random
+            route,
+            lambda: self._find_route(request),
+            self._random,
+            lambda at_ms: self._view.route_history.former_services(
+                request.host, request.path, at_ms
+            ),
         )
         service = request_route.next_service()
         budget = self._budgets.budget(service, self.peers.n_routers)
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -226,10 +226,11 @@
 
     def _share_origin(self, now_ms: float) -> None:
         """Record at peers where the stream began, if it may not go on everywhere."""
-        origin = self._run.binding.origin
+        binding = self._run.binding
+        origin = binding.origin
         if origin is None or now_ms < self._origin_due_ms:
             return
-        if self.context.versions.only(origin.service, now_ms):
+        if binding.is_evident(now_ms):
             return
         self._origin_due_ms = now_ms + SHARE_ORIGIN_INTERVAL_MS
         self.context.origins.share(origin)
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
@@ -27,7 +27,7 @@
 def make_view(version=0, upstreams=()):
     result = ForwardingView(LeaseTerms(4_700.0, 3_400.0))
     if version:
-        result.apply_config(config(version))
+        result.apply_config(config(version), 0.0)
     if upstreams:
         result.apply_listing(UpstreamListing(tuple(upstreams), at(7)), 0.0)
     return result
@@ -83,7 +83,7 @@
         view = make_view(4)
         self.serve(view)
         await self.reader.read_config(self.peer)
-        view.apply_config(config(5, routes=[route(name="new")]))
+        view.apply_config(config(5, routes=[route(name="new")]), 0.0)
         result = await self.reader.read_config(self.peer)
         self.assertEqual((result.version, result.routes[0].name), (5, "new"))
 
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/proof_exchange_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/proof_exchange_tests.py
@@ -27,7 +27,7 @@
         self.fetched, self.sent = [], []
         self.era = StoreEra()
         self.view = ForwardingView(LeaseTerms(4_700.0, 3_400.0))
-        self.view.apply_config(config(5))
+        self.view.apply_config(config(5), 0.0)
         self.source = ProofSource(OWN, ProofOptions.within(2_500.0), -10_000.0)
         self.source.set_peers([ROOT], 0.0)
         self.exchange = ProofExchange(
--- a/packages/kernel/bronzeline_kernel/forwarding/request_route.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/request_route.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
 
@@ -27,6 +27,8 @@
     # Returns the route that the configuration in force has for the request.
     find: Callable[[], Route | None] = _find_none
     random: Random = field(default_factory=Random)
+    # Returns the services that the request's route left lately, at a time.
+    find_former: Callable[[float], Collection[str]] = lambda now_ms: ()
 
     @property
     def current(self) -> Route:
@@ -36,6 +38,12 @@
             return self.admitted
         return route
 
+    def only_service(self, now_ms: float) -> str:
+        """Return where all of the route's requests ran lately, empty if uncertain."""
+        named = {item.service for item in self.current.shares}
+        services = named.union(self.find_former(now_ms))
+        return services.pop() if len(services) == 1 else ""
+
     def names(self, service: str) -> bool:
         """Return whether the route in force names a service, with any weight."""
         return any(item.service == service for item in self.current.shares)
--- a/packages/kernel/bronzeline_kernel/forwarding/route_table.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/route_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from bronzeline_kernel.forwarding.config import (
     ForwardingConfig,
     Route,
@@ -9,7 +11,7 @@
     WorkspaceKeys,
 )
 
-__all__ = ["RouteTable", "host_name"]
+__all__ = ["RouteTable", "host_name", "path_prefixes"]
 
 
 class RouteTable:
@@ -36,13 +38,8 @@
         by_prefix = self._routes.get(host_name(host))
         if by_prefix is None:
             return None
-        end = path.rfind("/")
-        while end >= 0:
-            route = by_prefix.get(path[: end + 1])
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end)
-        return None
+        routes = (by_prefix.get(prefix) for prefix in path_prefixes(path))
+        return next((route for route in routes if route is not None), None)
 
     def find_workspace(self, key: str) -> WorkspaceKeys | None:
         """Return the workspace that a key belongs to, None if it is unknown."""
@@ -53,6 +50,14 @@
         return self._services.get(name)
 
 
+def path_prefixes(path: str) -> Iterator[str]:
+    """Return the prefixes that the routes of a path may have, the longest first."""
+    end = path.rfind("/")
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind("/", 0, end)
+
+
 def host_name(host: str) -> str:
     """Return a Host header without its port, in lowercase."""
     return host.partition(":")[0].lower()
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
@@ -88,7 +88,7 @@
         if record is not None:
             self._accept_record(record, now_ms)
             return
-        version = self._only_version(service, now_ms)
+        version = self._only_version(now_ms)
         proof = VersionProof.ONLY_VERSION
         if not version:
             version = self._listed_version(service, now_ms)
@@ -140,11 +140,16 @@
         self.proof = VersionProof.RECORD
         self.origins.record(record, now_ms)
 
-    def _only_version(self, service: str, now_ms: float) -> str:
+    def is_evident(self, now_ms: float) -> bool:
+        """Return whether all routers know without a record where the stream began."""
+        service = self.route.only_service(now_ms)
+        is_only = self.origin is not None and self.origin.service == service
+        return is_only and bool(self.upstreams.versions.only(service, now_ms))
+
+    def _only_version(self, now_ms: float) -> str:
         """Return the only version of the only service that may have begun it."""
-        if len(self.route.current.shares) > 1:
-            return ""
-        return self.upstreams.versions.only(service, now_ms)
+        service = self.route.only_service(now_ms)
+        return self.upstreams.versions.only(service, now_ms) if service else ""
 
     def _listed_version(self, service: str, now_ms: float) -> str:
         """Return the version of all engines that keep the caller's events.
--- a/packages/kernel/bronzeline_kernel/forwarding/view.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/view.py
@@ -6,6 +6,7 @@
 from bronzeline_kernel.forwarding.config import ForwardingConfig
 from bronzeline_kernel.forwarding.lease import FreshnessLease, LeaseTerms
 from bronzeline_kernel.forwarding.protocols import UpstreamListing
+from bronzeline_kernel.forwarding.route_history import RouteHistory
 from bronzeline_kernel.forwarding.route_table import RouteTable
 from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.stored_config import StoredConfig
@@ -25,6 +26,7 @@
         self.upstreams = UpstreamSet()
         self.changes = ChangeLog()
         self.table: RouteTable | None = None
+        self.route_history = RouteHistory()
         self.stored_config = StoredConfig()
         self._read_at_ms = float("-inf")
 
@@ -33,11 +35,13 @@
         """Return the version of the configuration, 0 if there is none."""
         return self.table.config.version if self.table else 0
 
-    def apply_config(self, config: ForwardingConfig) -> bool:
+    def apply_config(self, config: ForwardingConfig, now_ms: float) -> bool:
         """Apply a configuration if it is newer; return whether it was applied."""
         if self.table is not None and config.version <= self.version:
             return False
-        self.table = RouteTable(config)
+        former, self.table = self.table, RouteTable(config)
+        if former is not None:
+            self.route_history.record(former, self.table, now_ms)
         return True
 
     def store_restored(self, now_ms: float) -> None:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
@@ -35,7 +35,7 @@
 def view(is_loaded=True):
     router_view = ForwardingView(LeaseTerms(4_700.0, 3_400.0))
     if is_loaded:
-        router_view.apply_config(config(routes=ROUTES))
+        router_view.apply_config(config(routes=ROUTES), 0.0)
         router_view.upstreams.replace_all(fleet(), 0.0)
         router_view.lease.renew(0.0)
     return router_view
@@ -90,7 +90,7 @@
     def test_older_configuration_is_not_applied(self, versions, expected):
         router_view = view(is_loaded=False)
         for version in versions:
-            router_view.apply_config(config(version=version))
+            router_view.apply_config(config(version=version), 0.0)
         self.assertEqual(router_view.version, expected)
 
     @params((True, True, True), (False, True, False), (True, False, False))
@@ -100,7 +100,7 @@
         router_view = view(is_loaded=False)
         router_view.lease.renew(0.0)
         if has_config:
-            router_view.apply_config(config())
+            router_view.apply_config(config(), 0.0)
         if has_upstreams:
             router_view.upstreams.replace_all([], 0.0)
         self.assertEqual(router_view.is_ready(1.0), expected)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stored_config_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stored_config_tests.py
@@ -15,7 +15,7 @@
 
     def setUp(self):
         self.view = ForwardingView(LeaseTerms(4_700.0, 3_400.0))
-        self.view.apply_config(config(8))
+        self.view.apply_config(config(8), 0.0)
         self.view.stored_config.record(8)
         self.view.record_reading(RESTORED_MS - 1_000.0)
 
