--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -313,15 +313,18 @@
             if change.entry is not None
             or self._view.upstreams.get(change.upstream_id) is not None
         ]
-        self._view.apply_changes(changes, position, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._view.apply_changes(changes, position, now_ms)
         for change in known:
             entry = change.entry
+            held_for_ms = self._view.upstreams.held_for_ms(change.upstream_id, now_ms)
             log_event(
                 "upstream_changed",
                 upstream_id=change.upstream_id,
                 state="gone" if entry is None else _state_name(entry.is_leaving),
                 version="" if entry is None else entry.version,
                 position=str(position),
+                held_for_ms=round(held_for_ms),
             )
 
     def _on_restored(self, former_era: int, era: int) -> None:
@@ -354,6 +357,7 @@
         if state.is_unavailable:
             self._view.upstreams.store_recovered(self._clock.now_ms())
             log_event("store_regained", what=kind)
+            log_event("removals_held", source="own", what=kind)
             self._cancel_stale_calls(state)
         state.was_read = True
         state.is_unavailable = False
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -152,6 +152,10 @@
         else:
             self._drop(upstream_id)
 
+    def held_for_ms(self, upstream_id: str, now_ms: float) -> float:
+        """Return for how long the removal of an upstream is still held, 0 if not."""
+        return max(0.0, self._removals_due_ms.get(upstream_id, now_ms) - now_ms)
+
     def _drop(self, upstream_id: str) -> None:
         entry = self._listed.pop(upstream_id, None)
         if entry is not None:
