Hold removals only after an outage that the router's own calls saw

What callers saw: routers that were in touch with the store sent orders to an upstream up to 3 s after the store had accepted the removal of its entry, 2.5 s allowed, and some were lost when it exited.

Cause: one failed call of the reader counts as an outage of the store. When its link is back it holds removals for 2 s, and its followers took the hold over with its proof (away_until_ms_ago), though they and the store had been well.

Change: StoreContact tells by a router's own calls whether the store may have been away: one that failed, or had no response, before a newer reading, its own or a peer's. What a peer holds is its own matter; the message still carries it for routers of earlier builds. Followers of an absent store have failed calls of their own, as they read it once their proofs are old. Adopted upstreams that the store does not list are dropped 2 s after any contact; they relied on the end of an outage.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -197,6 +197,8 @@
         """
         state = self._states[kind]
         is_unsure = self._watch_states.may_get_no_response(kind)
+        if kind == CONFIG:
+            self._view.contact.record_call(self._clock.now_ms())
         call = state.call = asyncio.create_task(work)
         try:
             return await state.timeout.call(call, is_unsure=is_unsure)
@@ -346,6 +348,7 @@
             log_event("store_lost", what=kind, error=error)
         state.is_unavailable = True
         state.n_failures += 1
+        self._view.contact.record_failure(self._clock.now_ms())
 
     def _mark_available(self, kind: str) -> None:
         """Record that a call was answered, before its content is applied.
@@ -354,10 +357,12 @@
         """
         self._on_call(kind, "answered")
         state = self._states[kind]
+        now_ms = self._clock.now_ms()
+        away_ms = self._view.store_answered(now_ms)
+        if away_ms is not None:
+            log_event("removals_held", source="store", away_ms=round(away_ms))
         if state.is_unavailable:
-            self._view.upstreams.store_recovered(self._clock.now_ms())
             log_event("store_regained", what=kind)
-            log_event("removals_held", source="own", what=kind)
             self._cancel_stale_calls(state)
         state.was_read = True
         state.is_unavailable = False
--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -101,13 +101,14 @@
         if config_version > self._view.version and peer.router_id:
             self._watch.fetch_config_from(peer)
 
-    def _log_hold(self, peer: RouterEntry, now_ms: float) -> None:
-        """Log once when this router begins to hold removals because a peer does."""
-        if self._view.upstreams.away_until_ms_ago(now_ms) is None:
-            read_age_ms = self._view.read_age_ms(now_ms)
-            log_event(
-                "removals_held", source=peer.router_id, read_age_ms=round(read_age_ms)
-            )
+    def _record_contact(
+        self, read_at_ms: float, peer: RouterEntry, now_ms: float
+    ) -> None:
+        """Record when the store was read; what a peer holds is its own matter."""
+        self._view.record_contact(read_at_ms)
+        away_ms = self._view.peer_read_store(read_at_ms, now_ms)
+        if away_ms is not None:
+            log_event("removals_held", source=peer.router_id, away_ms=round(away_ms))
 
     def _learn_era(self, position: StorePosition) -> None:
         """Learn of a restoration from a peer that has read a list of upstreams."""
@@ -147,13 +148,9 @@
         )
         if read_at_ms is None:
             return
-        self._view.record_contact(read_at_ms)
+        self._record_contact(read_at_ms, peer, now_ms)
         if proof.config_version == self._view.version:
             self._view.lease.renew(read_at_ms + proof.read_age_ms - proof.age_ms)
-        if proof.away_until_ms_ago is not None:
-            recovered_at_ms = now_ms - proof.away_until_ms_ago
-            self._log_hold(peer, now_ms)
-            self._view.upstreams.store_recovered(recovered_at_ms)
         if proof.position <= self._view.changes.position:
             return
         if proof.changes is None:
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -133,6 +133,7 @@
 )
 from bronzeline_kernel.forwarding.settings import ForwardingSettings, SocketAddress
 from bronzeline_kernel.forwarding.stop_plan import StopPlan
+from bronzeline_kernel.forwarding.store_contact import StoreContact
 from bronzeline_kernel.forwarding.store_era import StoreEra
 from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.stream_binding import StreamBinding, VersionProof
@@ -265,6 +266,7 @@
     "ServiceVersions",
     "SocketAddress",
     "StopPlan",
+    "StoreContact",
     "StoreEra",
     "StorePosition",
     "StreamBinding",
--- a/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/peer_messages.py
@@ -156,8 +156,8 @@
     `age_ms` is the age of the proof that the configuration is current, `read_age_ms`
     that of the last reading of the store, which may have proven nothing.
     `changes` is None if the peer must read the whole list of upstreams itself.
-    `away_until_ms_ago` is the time since the store became reachable again; None
-    if there was no recent outage.
+    `away_until_ms_ago` is the time since the store became reachable again for this
+    router, None if there was no recent outage; routers of earlier builds read it.
     """
 
     number: int
--- a/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/upstream_set.py
@@ -87,6 +87,11 @@
         for upstream_id in (*self._removals_due_ms, *self._adopted):
             self._removals_due_ms[upstream_id] = self._hold_until_ms
 
+    def expect_adopted(self, now_ms: float) -> None:
+        """Drop the adopted upstreams that the store does not list soon."""
+        for upstream_id in self._adopted:
+            self._removals_due_ms.setdefault(upstream_id, now_ms + REMOVAL_HOLD_MS)
+
     def store_restored(self, now_ms: float) -> None:
         """Hold removals, and doubt what lists say of upstreams that have left."""
         self.store_recovered(now_ms)
@@ -98,7 +103,10 @@
         return len(self._doubted)
 
     def away_until_ms_ago(self, now_ms: float) -> float | None:
-        """Return the time since the store recovered, None if removals are not held."""
+        """Return the time since the store recovered, None if removals are not held.
+
+        It tells of the outage that this router saw, which may be its own alone.
+        """
         if now_ms >= self._hold_until_ms:
             return None
         return now_ms - (self._hold_until_ms - REMOVAL_HOLD_MS)
--- a/packages/kernel/bronzeline_kernel/forwarding/view.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/view.py
@@ -8,6 +8,7 @@
 from bronzeline_kernel.forwarding.protocols import UpstreamListing
 from bronzeline_kernel.forwarding.route_history import RouteHistory
 from bronzeline_kernel.forwarding.route_table import RouteTable
+from bronzeline_kernel.forwarding.store_contact import StoreContact
 from bronzeline_kernel.forwarding.store_position import StorePosition
 from bronzeline_kernel.forwarding.stored_config import StoredConfig
 from bronzeline_kernel.forwarding.upstream_set import ListedUpstream, UpstreamSet
@@ -28,6 +29,7 @@
         self.table: RouteTable | None = None
         self.route_history = RouteHistory()
         self.stored_config = StoredConfig()
+        self.contact = StoreContact()
         self._read_at_ms = float("-inf")
 
     @property
@@ -64,6 +66,25 @@
         """Record when this router, or the one that it follows, read the store."""
         self._read_at_ms = max(self._read_at_ms, read_at_ms)
 
+    def store_answered(self, now_ms: float) -> float | None:
+        """Record an answer of the store, before its content is applied.
+
+        Returns for how long the store may have been away, in milliseconds, None if
+        there was no outage.
+        """
+        return self._end_outage(self.contact.record_answer(now_ms), now_ms)
+
+    def peer_read_store(self, read_at_ms: float, now_ms: float) -> float | None:
+        """Record when a peer read the store; returns the same as `store_answered`."""
+        return self._end_outage(self.contact.record_peer_reading(read_at_ms), now_ms)
+
+    def _end_outage(self, away_ms: float | None, now_ms: float) -> float | None:
+        """Hold removals after an outage: entries may have lapsed in it."""
+        if away_ms is not None:
+            self.upstreams.store_recovered(now_ms)
+        self.upstreams.expect_adopted(now_ms)
+        return away_ms
+
     def read_age_ms(self, now_ms: float) -> float:
         """Return the time since the store was read, infinity if it never was."""
         return now_ms - self._read_at_ms
