Fail a fetch whose response without length exceeds the bound

A response to a call of the store, an engine or a peer without a length was cut at the bound for buffered responses and returned as a whole answer, 200 with up to 2,097,152 bytes.

Cause: fetch closes the connection at the bound, and the end of the connection is the end of such a body; is_too_large was read only after an exception.

Change: Exchange.abort closes the connection, and what was read is not complete then. Foreign bytes beyond their bound end the same way. Attempts of callers' requests set a flag of their own before they close, so that they were not affected.

--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -80,6 +80,7 @@
     is_framed: bool = False
     closes_connection: bool = False
     _is_complete: bool = False
+    _is_aborted: bool = False
     _n_foreign_bytes: int = 0
 
     async def run(self, request: OutgoingRequest) -> None:
@@ -96,6 +97,14 @@
         if not self._is_complete:
             raise StreamBrokenError(str(self.stream.error or "incomplete response"))
 
+    def abort(self) -> None:
+        """Close the connection; what was read of the response is not all of it.
+
+        A response without a length ends with its connection, by whomever it is closed.
+        """
+        self._is_aborted = True
+        self.stream.close()
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request."""
@@ -137,8 +146,9 @@
         return self.on_data(chunk)
 
     def finish(self) -> None:
-        """Mark the response as complete, unless the connection was reset."""
-        self._is_complete = self.has_response and self.stream.error is None
+        """Mark the response as complete, unless the connection was reset or aborted."""
+        is_whole = self.stream.error is None and not self._is_aborted
+        self._is_complete = self.has_response and is_whole
 
     def on_connection_close(self) -> None:
         """Mark the response as incomplete: the connection closed."""
@@ -147,7 +157,7 @@
     def _discard(self, chunk: bytes) -> None:
         self._n_foreign_bytes += len(chunk)
         if self._n_foreign_bytes > MAX_FOREIGN_BYTES:
-            self.stream.close()
+            self.abort()
 
     def _write(self, connection: HTTP1Connection, request: OutgoingRequest) -> None:
         headers = HTTPHeaders()
@@ -196,7 +206,7 @@
         nonlocal is_too_large
         if not buffer.append(chunk):
             is_too_large = True
-            connection.close()
+            exchange.abort()
 
     exchange = Exchange(connection, on_head, on_data)
     try:
