Ask peers before the only known version of a service proves where a stream began

Shown here: a router that was cut off from the store and its peers while upstreams of another version joined sent a stream that began at one of them to an upstream of the former version, at which its events were joined; so did it once it was back, until the changes had reached it.

Cause: the only version of a service in a router's own list proved where a stream began, before any peer was asked, however old the list was.

Change: without a record it is concluded only after the search. A peer that knows no record answers with the versions that it knows, if its list is at most 2 s old; the only version must be all that was answered. Where nobody answers, the list must have been read after the request came; the stream waits for that for up to 1.5 s, and is refused then.

--- a/packages/daemon/bronzeline_daemon/forwarding/origin_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/origin_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bronzeline_daemon.forwarding.peers import ForwardingPeers
@@ -14,6 +15,7 @@
     StreamOrigin,
     StreamOrigins,
 )
+from bronzeline_kernel.forwarding.stream_binding import MAX_LIST_AGE_MS
 from bronzeline_kernel.protocols import Clock
 
 __all__ = ["OriginExchange"]
@@ -38,11 +40,13 @@
         peers: ForwardingPeers,
         origins: StreamOrigins,
         versions: ServiceVersions,
+        list_age_ms: Callable[[float], float],
         clock: Clock,
     ) -> None:
         self._peers = peers
         self._origins = origins
         self._versions = versions
+        self._list_age_ms = list_age_ms
         self._clock = clock
         self._lookups: dict[str, Lookup] = {}
         peers.listen(StreamOrigin, self._on_origin)
@@ -77,10 +81,13 @@
         if origin is not None:
             self._peers.send_to(origin, peer)
             return
-        is_complete = self._versions.is_complete
-        versions = self._versions.records(now_ms) if is_complete else None
+        knows_all = self._versions.is_complete and self._is_fresh(now_ms)
+        versions = self._versions.records(now_ms) if knows_all else None
         self._peers.send_to(OriginUnknown(asked.request_hash, versions), peer)
 
+    def _is_fresh(self, now_ms: float) -> bool:
+        return self._list_age_ms(now_ms) < MAX_LIST_AGE_MS
+
     def _on_origin(self, origin: StreamOrigin, peer: RouterEntry) -> None:
         self._origins.put(origin, self._clock.now_ms())
         lookup = self._lookups.get(origin.request_hash)
@@ -88,9 +95,12 @@
             lookup.is_done.set()
 
     def _on_unknown(self, unknown: OriginUnknown, peer: RouterEntry) -> None:
+        now_ms = self._clock.now_ms()
         if unknown.versions is not None and not self._versions.is_complete:
             # This router has started while the store is away.
-            self._versions.learn(unknown.versions, self._clock.now_ms())
+            self._versions.learn(unknown.versions, now_ms)
+        if unknown.versions is not None:
+            self._origins.report(unknown.request_hash, unknown.versions, now_ms)
         lookup = self._lookups.get(unknown.request_hash)
         if lookup is None:
             return
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -99,7 +99,11 @@
         )
         self.origins = StreamOrigins()
         origin_exchange = OriginExchange(
-            self.peers, self.origins, view.upstreams.versions, clock
+            self.peers,
+            self.origins,
+            view.upstreams.versions,
+            view.read_age_ms,
+            clock,
         )
         self._engine_adopter = EngineAdopter(view, engines, self.peers, clock)
         self._budgets = BudgetShare(settings.retry_ratio, settings.n_retry_reserve)
@@ -235,6 +239,8 @@
                 self._view.upstreams,
                 self.placement.prompts,
                 self.origins,
+                self._view.read_age_ms,
+                self.peers.n_routers > 1,
             )
             stream = StreamRun(
                 binding,
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_binding.py
@@ -14,6 +14,9 @@
 
 __all__ = ["StreamBinding", "VersionProof"]
 
+# While the store can be read, what a router knows of it is at most 1,400 ms old.
+MAX_LIST_AGE_MS = 2_000.0
+
 
 class VersionProof(Enum):
     """Classify by what the version of a stream is known."""
@@ -44,6 +47,9 @@
     upstreams: UpstreamSet
     prompts: PromptIndex
     origins: StreamOrigins = field(default_factory=StreamOrigins)
+    # Returns the age of this router's list of upstreams.
+    list_age_ms: Callable[[float], float] = lambda now_ms: 0.0
+    has_peers: bool = False
     # Called with the origin once the caller has the first event.
     on_began: Callable[[StreamOrigin], None] = lambda origin: None
     origin: StreamOrigin | None = None
@@ -52,6 +58,7 @@
     has_begun: bool = False
     # Whether the stream began at a service to which its route does not lead now.
     has_moved: bool = False
+    _asked_at_ms: float | None = None
 
     @property
     def is_open(self) -> bool:
@@ -80,14 +87,27 @@
         self.origins.record(self.origin, now_ms)
         self.on_began(self.origin)
 
-    def resolve(self, service: str, now_ms: float) -> None:
-        """Find out at which version a stream that is taken up began."""
+    def resolve(
+        self, service: str, now_ms: float, *, is_searched: bool = False
+    ) -> None:
+        """Find out at which version a stream that is taken up began.
+
+        Without a record it is concluded only after the peers have been asked: this
+        router may have missed upstreams that joined.
+        """
         if not self.is_unproven:
             return
+        if self._asked_at_ms is None:
+            self._asked_at_ms = now_ms
         record = self.origins.find(self.request.resumes_id, self.request_hash, now_ms)
         if record is not None:
             self._accept_record(record, now_ms)
             return
+        if is_searched:
+            self._conclude(service, now_ms)
+
+    def _conclude(self, service: str, now_ms: float) -> None:
+        """Find out the version from what upstreams there are, and what they keep."""
         version = self._only_version(now_ms)
         proof = VersionProof.ONLY_VERSION
         if not version:
@@ -144,12 +164,38 @@
         """Return whether all routers know without a record where the stream began."""
         service = self.route.only_service(now_ms)
         is_only = self.origin is not None and self.origin.service == service
-        return is_only and bool(self.upstreams.versions.only(service, now_ms))
+        has_one = is_only and bool(self.upstreams.versions.only(service, now_ms))
+        return has_one and self.list_age_ms(now_ms) < MAX_LIST_AGE_MS
+
+    def awaits_list(self, now_ms: float) -> bool:
+        """Return whether a newer list would prove what no peer has confirmed."""
+        service = self.route.only_service(now_ms)
+        version = self.upstreams.versions.only(service, now_ms) if service else ""
+        is_known = self._reported_versions(service, now_ms) is not None
+        return self.is_unproven and bool(version) and not is_known
 
     def _only_version(self, now_ms: float) -> str:
-        """Return the only version of the only service that may have begun it."""
+        """Return the only version of the only service that may have begun it.
+
+        A peer with a fresh list must agree. If none answers, this router's own list
+        must be newer than the request: others may have begun the stream at an upstream
+        that joined after it was read.
+        """
         service = self.route.only_service(now_ms)
-        return self.upstreams.versions.only(service, now_ms) if service else ""
+        version = self.upstreams.versions.only(service, now_ms) if service else ""
+        reported = self._reported_versions(service, now_ms)
+        if reported is None:
+            return version if self._is_list_proven(now_ms) else ""
+        return version if reported <= {version} else ""
+
+    def _reported_versions(self, service: str, now_ms: float) -> frozenset[str] | None:
+        return self.origins.reported_versions(self.request_hash, service, now_ms)
+
+    def _is_list_proven(self, now_ms: float) -> bool:
+        age_ms = self.list_age_ms(now_ms)
+        if not self.has_peers or self._asked_at_ms is None:
+            return age_ms < MAX_LIST_AGE_MS
+        return now_ms - age_ms >= self._asked_at_ms
 
     def _listed_version(self, service: str, now_ms: float) -> str:
         """Return the version of all engines that keep the caller's events.
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
@@ -31,6 +31,9 @@
     # Peers answer within 30 ms, engines list their cached prompts within 90 ms;
     # dead ones never do.
     search_timeout_ms: float = 150.0
+    # Where no peer answers, a newer list of upstreams comes within this time, as the
+    # store is read twice a second.
+    list_timeout_ms: float = 1_500.0
     # After all upstreams rejected a request, slots become free within this time.
     retry_after_ms: float = 500.0
     # After three upstreams died in a row while running a stream, it either crashes
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_origins.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_origins.py
@@ -13,6 +13,8 @@
 # Callers take up streams within their time budget, 25 s, and may come back a few times.
 MEMORY_MS = 60_000.0
 MAX_ORIGINS = 20_000
+# What peers report is used once, when the search for an origin has ended.
+REPORT_MEMORY_MS = 1_000.0
 
 
 @dataclass(frozen=True)
@@ -48,7 +50,8 @@
 class OriginUnknown:
     """Reply that this router doesn't know where a stream began.
 
-    `versions` are those of each service; None if this router doesn't know them all.
+    `versions` are those of each service; None if this router doesn't know them all,
+    or may have missed some.
     """
 
     request_hash: str
@@ -62,6 +65,8 @@
         # By the caller's request, in the order of their recording.
         self._origins: dict[str, tuple[StreamOrigin, float]] = {}
         self._ids_by_hash: dict[str, set[str]] = {}
+        # What peers say of the versions, by the hash of the request that they know not.
+        self._reports: dict[str, tuple[tuple[VersionRecord, ...], float]] = {}
         # Called with each origin of this router's own streams, and the time.
         self.on_began: Callable[[StreamOrigin, float], None] = lambda *args: None
 
@@ -101,6 +106,32 @@
         is_certain = len(versions) == 1 and ("" not in {x.version for x in known})
         return known[0] if is_certain or len(began_at) == 1 else None
 
+    def report(
+        self, request_hash: str, versions: tuple[VersionRecord, ...], now_ms: float
+    ) -> None:
+        """Record the versions that a peer knows, which has no origin of a stream."""
+        known, _ = self._reports.pop(request_hash, ((), 0.0))
+        self._reports[request_hash] = (*known, *versions), now_ms
+        while self._reports:
+            oldest, (_, reported_at_ms) = next(iter(self._reports.items()))
+            if now_ms - reported_at_ms < REPORT_MEMORY_MS:
+                break
+            del self._reports[oldest]
+
+    def reported_versions(
+        self, request_hash: str, service: str, now_ms: float
+    ) -> frozenset[str] | None:
+        """Return the versions of a service that peers know, None without an answer."""
+        records, reported_at_ms = self._reports.get(request_hash, ((), float("-inf")))
+        if now_ms - reported_at_ms >= REPORT_MEMORY_MS:
+            return None
+        return frozenset(
+            version
+            for record in records
+            if record.service == service
+            for version in record.versions
+        )
+
     def _get(self, request_id: str, now_ms: float) -> StreamOrigin | None:
         origin, put_at_ms = self._origins.get(request_id, (None, 0.0))
         return None if now_ms - put_at_ms >= MEMORY_MS else origin
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -65,6 +65,7 @@
     n_cut_off: int = 0
     n_deaths: int = 0
     _search_deadline_ms: float | None = None
+    _list_deadline_ms: float = 0.0
     _tried: set[Incarnation] = field(default_factory=set)
     _retried: set[Incarnation] = field(default_factory=set)
 
@@ -91,21 +92,26 @@
         self.budget.earn()
         if self._is_too_late(0.0, now_ms):
             return self._fail_too_late("too little time for the answer", now_ms)
-        if not self._is_unproven(now_ms):
+        if not self._is_unproven(now_ms, is_searched=not self.route.is_resumable):
             actions = self._resume_earlier_run(now_ms)
             if actions:
                 return actions
             if not self._is_resent(now_ms):
                 return self._send_prompt(now_ms)
         self._search_deadline_ms = now_ms + self.options.search_timeout_ms
+        self._list_deadline_ms = now_ms + self.options.list_timeout_ms
         return [FindEarlierRun(self._prompt_list_candidates(now_ms))]
 
     def earlier_run_search_ended(self, now_ms: float) -> list[Action]:
         """Continue after the search for an earlier run was answered or timed out."""
         if self.is_over or self._search_deadline_ms is None:
             return []
+        is_unproven = self._is_unproven(now_ms, is_searched=True)
+        if is_unproven and self._may_await_list(now_ms):
+            self._search_deadline_ms = now_ms
+            return []
         self._search_deadline_ms = None
-        if self._is_unproven(now_ms):
+        if is_unproven:
             return self._fail_unproven()
         return self._resume_earlier_run(now_ms) or self._send_prompt(now_ms)
 
@@ -378,14 +384,19 @@
             return []
         return [self._send(copy.keeper, now_ms, copy)]
 
-    def _is_unproven(self, now_ms: float) -> bool:
+    def _is_unproven(self, now_ms: float, *, is_searched: bool) -> bool:
         """Return whether no upstream is certain to continue what the caller has."""
-        self.binding.resolve(self.service, now_ms)
+        self.binding.resolve(self.service, now_ms, is_searched=is_searched)
         origin = self.binding.origin
         if origin is not None:
             self.service = origin.service
         return self.binding.is_unproven
 
+    def _may_await_list(self, now_ms: float) -> bool:
+        """Return whether to wait for a newer list of upstreams."""
+        is_early = now_ms < self._list_deadline_ms
+        return is_early and self.binding.awaits_list(now_ms)
+
     def _is_resent(self, now_ms: float) -> bool:
         """Return whether the request was sent before, to a router that is not known.
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_binding_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_binding_tests.py
@@ -9,6 +9,7 @@
     Failure,
     Fault,
     RequestRoute,
+    Send,
     ServiceShare,
     ServiceVersions,
     StreamOrigin,
@@ -55,7 +56,7 @@
         return binding(of_request, of_route or route(), self.placement)
 
     def resolve(self, result, now_ms=0.0):
-        result.resolve(ENGINES, now_ms)
+        result.resolve(ENGINES, now_ms, is_searched=True)
         return result.proof, result.allows(self.v1), result.allows(self.v2)
 
     def test_a_stream_without_events_may_run_anywhere(self):
@@ -113,7 +114,7 @@
         shares = tuple(ServiceShare(*item) for item in moved.items())
         in_force = route(shares=shares) if moved else None
         result.route = RequestRoute(route(), lambda: in_force)
-        result.resolve("other", 0.0)
+        result.resolve("other", 0.0, is_searched=True)
         stays = ENGINES in moved or not moved
         self.assertEqual(result.proof is VersionProof.RECORD, stays)
         self.assertEqual((result.allows(self.v1), result.has_moved), (stays, not stays))
@@ -131,6 +132,27 @@
         result = self.bind(route(shares=shares), **TAKEN_UP)
         self.assertEqual(self.resolve(result)[0], VersionProof.NONE)
 
+    @params(
+        # Without an answer: the list's age, then what the peers know.
+        (0.0, None, True),
+        (90.0, None, False),
+        (0.0, ["v1"], True),
+        (9_000.0, ["v1"], True),
+        (0.0, ["v1", "v2"], False),
+    )
+    def test_the_only_version_must_be_confirmed(self, age_ms, known, is_proven):
+        """A router that missed upstreams joined streams that began at one of them."""
+        self.placement = placement(mixed("v1"))
+        result = self.bind(**TAKEN_UP)
+        result.has_peers, result.list_age_ms = True, lambda now_ms: age_ms
+        result.resolve(ENGINES, 0.0)
+        self.assertEqual(result.proof, VersionProof.NONE)
+        if known:
+            records = (VersionRecord(ENGINES, tuple(known)),)
+            result.origins.report(result.request_hash, records, 80.0)
+        proof, _, _ = self.resolve(result, 80.0)
+        self.assertEqual(proof is VersionProof.ONLY_VERSION, is_proven)
+
     @params(
         # At least one token for each event of the caller.
         ({"v2": 105}, VersionProof.PROMPT_LIST),
@@ -201,6 +223,20 @@
         self.start(**TAKEN_UP)
         self.assertEqual(self.driver.run.earlier_run_search_ended(90.0), [UNKNOWN])
 
+    @params((300.0, Send, 400.0), (float("inf"), Fail, 1_500.0))
+    def test_a_newer_list_is_awaited_where_no_peer_answers(self, read_ms, kind, end_ms):
+        self.driver = Driver(request=request(unique_part_id="own", **TAKEN_UP))
+        run = self.driver.run
+        run.binding.has_peers = True
+        run.binding.list_age_ms = lambda now_ms: (
+            now_ms - read_ms if now_ms >= read_ms else now_ms + 100.0
+        )
+        self.driver.start()
+        self.assertEqual(run.earlier_run_search_ended(90.0), [])
+        ((ended_ms, action),) = self.driver.wait(1_600.0)[:1]
+        self.assertIsInstance(action, kind)
+        self.assertLessEqual(ended_ms, end_ms)
+
     def test_a_stall_of_the_process_does_not_end_the_search(self):
         """What engines have answered meanwhile is read after it."""
         self.start(**TAKEN_UP)
