Split the stream's state machine by decision: choice, failure, counts

Where a stream goes on (stream_choice), which error its caller gets (stream_failure) and how many attempts it may have (attempt_counts) stand in modules of their own; crash in place of death in what was touched. 826 tests of kernel and daemon forwarding pass.

--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -173,7 +173,7 @@
     def after_end(self) -> None:
         """Clean up after the request has ended."""
 
-    def on_upstream_died(self) -> None:
+    def on_upstream_crashed(self) -> None:
         """Handle the death of an upstream during an attempt."""
 
     def on_process_stall(self) -> None:
@@ -289,7 +289,7 @@
                 self.context,
                 self._identity.work_hash,
                 self.unanswered_parts(),
-                self.on_upstream_died,
+                self.on_upstream_crashed,
             )
             check.start(attempt)
 
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -240,9 +240,9 @@
         if self._shared_copy is not None and not self.response.is_incomplete:
             self.context.peers.end_run(self._identity.run_hash)
 
-    def on_upstream_died(self) -> None:
+    def on_upstream_crashed(self) -> None:
         """Count a death among the upstreams that died in a row."""
-        self._run.upstream_died()
+        self._run.upstream_crashed()
 
     def on_process_stall(self) -> None:
         """Exclude the time in which this process did not run from silence."""
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/attempt_counts.py
@@ -0,0 +1,40 @@
+"""Count the attempts of one stream, and by what they failed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bronzeline_kernel.forwarding.messages import Fault
+
+__all__ = ["AttemptCounts"]
+
+
+@dataclass
+class AttemptCounts:
+    """Decide by the attempts so far how many more a stream may have."""
+
+    n_sent: int = 0
+    n_rejected: int = 0
+    n_unreachable: int = 0
+    n_lost: int = 0
+    # Lost with their upstream or its connection; these don't use up attempts.
+    n_cut_off: int = 0
+    # Upstreams that crashed in a row.
+    n_crashes: int = 0
+
+    def record_lost(self, fault: Fault) -> None:
+        """Count an attempt that may have run."""
+        self.n_lost += 1
+        if fault.is_cut_off:
+            self.n_cut_off += 1
+
+    def record_not_run(self, fault: Fault, *, is_from_copy: bool) -> None:
+        """Count an attempt that has not run; a copy's holder may lack just the copy."""
+        if fault is Fault.UNREACHABLE:
+            self.n_unreachable += 1
+        if not is_from_copy:
+            self.n_rejected += 1
+
+    def has_left(self, max_attempts: int) -> bool:
+        """Return whether attempts are left, not counting those that were cut off."""
+        return self.n_sent - self.n_unreachable - self.n_cut_off < max_attempts
--- /dev/null
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_choice.py
@@ -0,0 +1,92 @@
+"""Choose where a stream goes on; each way asks the binding and the permission."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bronzeline_kernel.forwarding.messages import CopySource, Fault
+from bronzeline_kernel.forwarding.placement import Choice, Placement
+from bronzeline_kernel.forwarding.prompt_index import Prompt
+from bronzeline_kernel.forwarding.stream_attempt import Attempt
+from bronzeline_kernel.forwarding.stream_binding import StreamBinding
+from bronzeline_kernel.forwarding.stream_copies import StreamCopies
+from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
+
+__all__ = ["StreamChoice"]
+
+
+@dataclass(frozen=True)
+class StreamChoice:
+    """Choose the upstream of a stream's next attempt."""
+
+    binding: StreamBinding
+    placement: Placement
+    copies: StreamCopies
+    service: str
+    # The upstreams at which an attempt failed, and those that were tried twice.
+    tried: set[Incarnation]
+    retried: set[Incarnation]
+
+    def may_resume_from(self, copy: CopySource, now_ms: float) -> bool:
+        """Return whether the stream may go on from a copy that a peer told of."""
+        holder = copy.keeper
+        if not self.placement.may_keeper_hold(holder, now_ms):
+            return False
+        if not self.binding.allows(holder):
+            return False
+        return self.copies.may_resume_on(holder, now_ms)
+
+    def copy_after_loss(self, attempt: Attempt, now_ms: float) -> CopySource | None:
+        """Return the copy of a lost attempt from which the stream may go on."""
+        copy = self.copies.to_try(attempt, now_ms)
+        if copy is None or not self.binding.allows(copy.keeper):
+            return None
+        return copy
+
+    def retry_same(self, attempt: Attempt, fault: Fault, now_ms: float) -> bool:
+        """Return whether to retry on the same upstream, which is done once.
+
+        After a broken connection the upstream may be alive and still have the
+        prompt cached; if it crashed, it refuses the connection immediately.
+        """
+        incarnation = attempt.upstream.incarnation
+        if fault is not Fault.BROKEN or incarnation in self.retried:
+            return False
+        if not self.placement.permission.may_send(attempt.upstream, now_ms):
+            return False
+        if not self.binding.allows(attempt.upstream):
+            return False
+        self.retried.add(incarnation)
+        return True
+
+    def choose(self, now_ms: float, *, is_resumed: bool) -> Choice | None:
+        """Choose an upstream for the prompt; those tried before come last."""
+        choice = self._choose(now_ms, is_resumed)
+        if choice is None and self.tried:
+            self.tried.clear()
+            choice = self._choose(now_ms, is_resumed)
+        return choice
+
+    def has_no_version(self, now_ms: float) -> bool:
+        """Return whether no usable upstream may continue the stream."""
+        if self.binding.is_open:
+            return False
+        usable = self.placement.upstreams.usable(self.service, now_ms)
+        return not any(self.binding.allows(item) for item in usable)
+
+    def prompt_list_candidates(self, now_ms: float) -> tuple[ListedUpstream, ...]:
+        """Return the upstreams to ask whether they keep the prompt."""
+        if not self.binding.request.unique_part_id:
+            return ()
+        return self.placement.prompt_list_candidates(self.service, now_ms)
+
+    def _choose(self, now_ms: float, is_resumed: bool) -> Choice | None:
+        request = self.binding.request
+        return self.placement.choose_for_stream(
+            self.service,
+            now_ms,
+            self.tried,
+            Prompt(request.unique_part_id, request.n_prompt_tokens),
+            is_resumed=is_resumed,
+            may_run=None if self.binding.is_open else self.binding.allows,
+        )
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
@@ -36,9 +36,9 @@
     list_timeout_ms: float = 1_500.0
     # After all upstreams rejected a request, slots become free within this time.
     retry_after_ms: float = 500.0
-    # After three upstreams died in a row while running a stream, it either crashes
+    # After three upstreams crashed in a row while running a stream, it either crashes
     # engines or was unlucky; retrying is not worth the risk to another engine.
-    max_deaths: int = 3
+    max_crashes: int = 3
     # An engine that goes on for this long after the first event has answered the
     # prompt: one that the prompt ends dies at once.
     answered_after_ms: float = 300.0
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from bronzeline_kernel.admission import RetryBudget
+from bronzeline_kernel.forwarding.attempt_counts import AttemptCounts
 from bronzeline_kernel.forwarding.config import Route
 from bronzeline_kernel.forwarding.fault_evidence import record_fault
 from bronzeline_kernel.forwarding.messages import (
@@ -23,11 +24,12 @@
     Send,
 )
 from bronzeline_kernel.forwarding.placement import Choice, Placement
-from bronzeline_kernel.forwarding.prompt_index import Prompt
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
 from bronzeline_kernel.forwarding.stream_binding import StreamBinding
+from bronzeline_kernel.forwarding.stream_choice import StreamChoice
 from bronzeline_kernel.forwarding.stream_copies import StreamCopies
 from bronzeline_kernel.forwarding.stream_evidence import StreamEvidence
+from bronzeline_kernel.forwarding.stream_failure import StreamFailure
 from bronzeline_kernel.forwarding.stream_limits import stream_limits
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.stream_silence import (
@@ -57,13 +59,7 @@
     last_event: int = 0
     attempt: Attempt | None = None
     is_over: bool = False
-    n_sent: int = 0
-    n_rejected: int = 0
-    n_unreachable: int = 0
-    n_lost: int = 0
-    # Lost with their upstream or its connection; these don't use up attempts.
-    n_cut_off: int = 0
-    n_deaths: int = 0
+    counts: AttemptCounts = field(default_factory=AttemptCounts)
     _search_deadline_ms: float | None = None
     _list_deadline_ms: float = 0.0
     _tried: set[Incarnation] = field(default_factory=set)
@@ -100,7 +96,7 @@
                 return self._send_prompt(now_ms)
         self._search_deadline_ms = now_ms + self.options.search_timeout_ms
         self._list_deadline_ms = now_ms + self.options.list_timeout_ms
-        return [FindEarlierRun(self._prompt_list_candidates(now_ms))]
+        return [FindEarlierRun(self._choice().prompt_list_candidates(now_ms))]
 
     def earlier_run_search_ended(self, now_ms: float) -> list[Action]:
         """Continue after the search for an earlier run was answered or timed out."""
@@ -112,7 +108,7 @@
             return []
         self._search_deadline_ms = None
         if is_unproven:
-            return self._fail_unproven()
+            return self._end(self._failure().unproven(self.binding))
         return self._resume_earlier_run(now_ms) or self._send_prompt(now_ms)
 
     def bind(self, number: int, now_ms: float) -> None:
@@ -144,7 +140,7 @@
             return False
         self.last_event = event_id
         self.bind(number, now_ms)
-        self.n_deaths = 0
+        self.counts.n_crashes = 0
         self._check_answered(attempt, now_ms)
         return True
 
@@ -180,12 +176,12 @@
         self._record_fault(attempt, fault, now_ms)
         if fault.is_not_run:
             return self._after_rejection(attempt, fault, now_ms)
-        self._count_lost(fault)
+        self.counts.record_lost(fault)
         return self._resume(attempt, fault, now_ms)
 
-    def upstream_died(self) -> None:
-        """Count an upstream that was found dead after its connection broke."""
-        self.n_deaths += 1
+    def upstream_crashed(self) -> None:
+        """Count an upstream that had crashed when its connection broke."""
+        self.counts.n_crashes += 1
 
     def probed(
         self, upstream: Incarnation, is_alive: bool, now_ms: float
@@ -296,29 +292,9 @@
             return []
         self._release()
         self._record_fault(attempt, Fault.SILENT, now_ms)
-        self._count_lost(Fault.SILENT)
+        self.counts.record_lost(Fault.SILENT)
         return [Abandon(attempt.number), *self._resume(attempt, Fault.SILENT, now_ms)]
 
-    def _may_retry_same_upstream(
-        self, attempt: Attempt, fault: Fault, now_ms: float
-    ) -> bool:
-        """Return whether to retry once on the same upstream.
-
-        After a broken connection the upstream may be alive and still have the
-        prompt cached; if it died, it refuses the connection immediately.
-        """
-        if fault is not Fault.BROKEN:
-            return False
-        incarnation = attempt.upstream.incarnation
-        if incarnation in self._retried:
-            return False
-        if not self.placement.permission.may_send(attempt.upstream, now_ms):
-            return False
-        if not self.binding.allows(attempt.upstream):
-            return False
-        self._retried.add(incarnation)
-        return True
-
     def _resume(self, attempt: Attempt, fault: Fault, now_ms: float) -> list[Action]:
         if not self.route.is_resumable:
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstream lost")
@@ -328,59 +304,44 @@
         if obstacle:
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
-        copy = self._copies().to_try(attempt, now_ms)
-        if copy is not None and self.binding.allows(copy.keeper):
+        choice = self._choice()
+        copy = choice.copy_after_loss(attempt, now_ms)
+        if copy is not None:
             return [self._send(copy.keeper, now_ms, copy)]
-        if self._may_retry_same_upstream(attempt, fault, now_ms):
+        if choice.retry_same(attempt, fault, now_ms):
             return [self._send(attempt.upstream, now_ms)]
         return self._send_prompt(now_ms)
 
     def _resume_obstacle(self) -> str:
         """Return why a lost stream can't resume, an empty string if it can."""
-        if not self._has_attempts_left():
+        if not self.counts.has_left(self.route.max_attempts):
             return "attempts used up"
-        if self.n_deaths >= self.options.max_deaths:
+        if self.counts.n_crashes >= self.options.max_crashes:
             return "upstreams died in a row"
         if self.is_blocked():
             return "quarantined"
         return "" if self.budget.has_any else "retry budget spent"
 
-    def _has_attempts_left(self) -> bool:
-        """Return whether attempts are left, not counting those that were cut off."""
-        n_counted = self.n_sent - self.n_unreachable - self.n_cut_off
-        return n_counted < self.route.max_attempts
-
-    def _count_lost(self, fault: Fault) -> None:
-        self.n_lost += 1
-        if fault.is_cut_off:
-            self.n_cut_off += 1
-
     def _after_rejection(
         self, attempt: Attempt, fault: Fault, now_ms: float
     ) -> list[Action]:
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
-        if self.n_deaths >= self.options.max_deaths:
+        if self.counts.n_crashes >= self.options.max_crashes:
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstreams died in a row")
-        if fault is Fault.UNREACHABLE:
-            self.n_unreachable += 1
-        elif not self._has_attempts_left():
+        is_unreachable = fault is Fault.UNREACHABLE
+        if not is_unreachable and not self.counts.has_left(self.route.max_attempts):
             return self._fail_not_served("attempts used up", now_ms)
-        if not attempt.is_from_copy:
-            self.n_rejected += 1
-        if self.n_rejected > self.options.max_rejections:
+        self.counts.record_not_run(fault, is_from_copy=attempt.is_from_copy)
+        if self.counts.n_rejected > self.options.max_rejections:
             return self._fail_not_served("every upstream turned it away", now_ms)
-        if fault is not Fault.UNREACHABLE and not self.budget.spend():
+        if not is_unreachable and not self.budget.spend():
             return self._fail_not_served("retry budget spent", now_ms)
         return self._send_prompt(now_ms)
 
     def _resume_earlier_run(self, now_ms: float) -> list[Action]:
         copy = self.find_copy(now_ms)
-        if copy is None or not self.placement.may_keeper_hold(copy.keeper, now_ms):
-            return []
-        if not self.binding.allows(copy.keeper):
-            return []
-        if not self._copies().may_resume_on(copy.keeper, now_ms):
+        if copy is None or not self._choice().may_resume_from(copy, now_ms):
             return []
         return [self._send(copy.keeper, now_ms, copy)]
 
@@ -409,25 +370,17 @@
         is_late = left_ms < self.options.resent_time_share * self.route.timeout_ms
         return self.request.after_event > 0 or is_late
 
-    def _prompt_list_candidates(self, now_ms: float) -> tuple[ListedUpstream, ...]:
-        if not self.request.unique_part_id:
-            return ()
-        return self.placement.prompt_list_candidates(self.service, now_ms)
-
     def _send_prompt(self, now_ms: float) -> list[Action]:
         self._follow_route()
-        request = self.request
-        prompt = Prompt(request.unique_part_id, request.n_prompt_tokens)
-        choice = self._choose(prompt, now_ms)
-        if choice is None and self._tried:
-            self._tried.clear()
-            choice = self._choose(prompt, now_ms)
-        if choice is None and self._has_left(now_ms):
-            return self._fail_lost("its software version has left")
+        chooser = self._choice()
+        is_resumed = self.has_delivered or self.counts.n_lost > 0
+        choice = chooser.choose(now_ms, is_resumed=is_resumed)
+        if choice is None and chooser.has_no_version(now_ms):
+            return self._end(self._failure().lost("its software version has left"))
         if choice is None:
             return self._fail_not_served("no upstream", now_ms)
         read_ms = self._evidence().fastest_read_ms(choice.upstream, now_ms)
-        if not self.n_sent and self._is_too_late(read_ms, now_ms):
+        if not self.counts.n_sent and self._is_too_late(read_ms, now_ms):
             return self._fail_too_late("too little time for the prompt", now_ms)
         return [self._send(choice.upstream, now_ms, choice=choice)]
 
@@ -436,23 +389,16 @@
         if self.binding.is_open:
             self.service = self.binding.route.next_service(self.service)
 
-    def _choose(self, prompt: Prompt, now_ms: float) -> Choice | None:
-        return self.placement.choose_for_stream(
+    def _choice(self) -> StreamChoice:
+        return StreamChoice(
+            self.binding,
+            self.placement,
+            self._copies(),
             self.service,
-            now_ms,
             self._tried,
-            prompt,
-            is_resumed=self.has_delivered or self.n_lost > 0,
-            may_run=None if self.binding.is_open else self.binding.allows,
+            self._retried,
         )
 
-    def _has_left(self, now_ms: float) -> bool:
-        """Return whether no usable upstream may continue the stream."""
-        if self.binding.is_open:
-            return False
-        usable = self.placement.upstreams.usable(self.service, now_ms)
-        return not any(self.binding.allows(item) for item in usable)
-
     def _evidence(self) -> StreamEvidence:
         return StreamEvidence(self.request, self.service, self.placement, self.options)
 
@@ -471,14 +417,15 @@
         copy_to = None
         if self.route.is_resumable:
             copy_to = self.placement.choose_for_copy(upstream, now_ms)
-        self.n_sent += 1
+        counts = self.counts
+        counts.n_sent += 1
         limits = stream_limits(
             self.route,
             self.request.n_prompt_tokens,
             self.placement.pace(self.service),
         )
         self.attempt = Attempt(
-            self.n_sent,
+            counts.n_sent,
             upstream,
             now_ms,
             now_ms,
@@ -495,7 +442,7 @@
             self.placement.load(copy_to.upstream_id).n_copies += 1
         budget_ms = max(0.0, self.deadline_ms - now_ms)
         return Send(
-            self.n_sent, upstream, budget_ms, self.last_event, copy, copy_to, choice
+            counts.n_sent, upstream, budget_ms, self.last_event, copy, copy_to, choice
         )
 
     def _record_fault(self, attempt: Attempt, fault: Fault, now_ms: float) -> None:
@@ -521,43 +468,34 @@
         if attempt.copy_to is not None:
             self.placement.load(attempt.copy_to.upstream_id).n_copies -= 1
 
-    def _fail_not_served(self, reason: str, now_ms: float) -> list[Action]:
-        if self.n_lost or self.has_delivered:
-            return self._fail(Failure.UNKNOWN_OUTCOME, reason)
-        interval_ms = self.placement.pace(self.service).usual_prompt_ms
-        closure = self.placement.permission.find_closure(
-            self.service, self._tried, self.deadline_ms, interval_ms, now_ms
+    def _failure(self) -> StreamFailure:
+        return StreamFailure(
+            self.service,
+            self.placement,
+            self.options,
+            self.deadline_ms,
+            may_have_run=self.counts.n_lost > 0 or self.has_delivered,
         )
-        if closure is None:
-            return self._fail(Failure.NOT_RUN, reason, self.options.retry_after_ms)
-        return self._fail(Failure.NOT_RUN, closure.reason, closure.return_ms)
-
-    def _fail_lost(self, reason: str) -> list[Action]:
-        """End a stream that can't go on; it is no use to come back."""
-        is_run = self.n_lost or self.has_delivered
-        failure = Failure.UNKNOWN_OUTCOME if is_run else Failure.NOT_RUN
-        return self._fail(failure, reason)
-
-    def _fail_unproven(self) -> list[Action]:
-        """End a stream that no upstream is certain to continue."""
-        if self.binding.has_moved:
-            return self._fail_lost("its service has left the route")
-        return self._fail_lost("software version unknown")
+
+    def _fail_not_served(self, reason: str, now_ms: float) -> list[Action]:
+        return self._end(self._failure().not_served(reason, self._tried, now_ms))
 
     def _fail_blocked(self) -> list[Action]:
-        """End a request that was blocked meanwhile, before it ends another engine."""
-        failure = Failure.UNKNOWN_OUTCOME if self.n_sent else Failure.NOT_RUN
+        """End a request that was blocked meanwhile; it may crash another engine."""
+        is_sent = self.counts.n_sent > 0
+        failure = Failure.UNKNOWN_OUTCOME if is_sent else Failure.NOT_RUN
         return self._fail(failure, "quarantined")
 
     def _fail_too_late(self, reason: str, now_ms: float) -> list[Action]:
-        """Refuse the request; before its deadline a retry would have less time."""
-        return self._fail(Failure.NOT_RUN, reason, self.deadline_ms - now_ms)
+        return self._end(self._failure().too_late(reason, now_ms))
 
-    def _fail(
-        self, failure: Failure, reason: str, retry_after_ms: float = 0.0
-    ) -> list[Action]:
+    def _fail(self, failure: Failure, reason: str) -> list[Action]:
+        return self._end(Fail(failure, reason))
+
+    def _end(self, fail: Fail) -> list[Action]:
+        """Abandon the attempt, if there is one, and end the stream with an error."""
         number = self.attempt.number if self.attempt else 0
         self._release()
         self.is_over = True
         abandon: list[Action] = [Abandon(number)] if number else []
-        return [*abandon, Fail(failure, reason, retry_after_ms)]
+        return [*abandon, fail]
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/closure_tests.py
@@ -157,7 +157,7 @@
         notices.record(entries[0].incarnation, resting(2_000.0), 20.0)
         for entry in entries[1:n_known]:
             notices.receive_rest(entry.incarnation, "1", 2_000.0, 20.0)
-        run.n_rejected = run.options.max_rejections
+        run.counts.n_rejected = run.options.max_rejections
         (fail,) = run.lost(send.number, Fault.FULL, 20.0)
         self.assertGreaterEqual(fail.retry_after_ms, earliest_ms)
         self.assertLessEqual(fail.retry_after_ms, latest_ms)
@@ -168,7 +168,7 @@
             self.placement.limits.record_response(limited, 0.1, 0.0)
         run, (send,) = self.start(0.0)
         self.assertEqual(send.upstream.upstream_id, "zone-c-0")
-        run.n_rejected = run.options.max_rejections
+        run.counts.n_rejected = run.options.max_rejections
         (fail,) = run.lost(send.number, Fault.FULL, 20.0)
         self.assertEqual(fail.retry_after_ms, run.options.retry_after_ms)
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -185,11 +185,11 @@
 
 class DeathTests(unittest.TestCase):
     @params((2, Send), (3, Fail))
-    def test_stream_fails_after_three_consecutive_deaths(self, n_deaths, expected):
+    def test_stream_fails_after_three_consecutive_crashes(self, n_crashes, expected):
         driver = Driver()
         driver.start()
-        for _ in range(n_deaths):
-            driver.run.upstream_died()
+        for _ in range(n_crashes):
+            driver.run.upstream_crashed()
         self.assertIsInstance(driver.fail_attempt(1, Fault.SILENT)[-1], expected)
 
     def test_events_reset_the_count_of_deaths(self):
@@ -197,7 +197,7 @@
         driver.start()
         for number in range(1, 5):
             driver.events(number, 2)
-            driver.run.upstream_died()
+            driver.run.upstream_crashed()
             self.assertIsInstance(driver.fail_attempt(number)[-1], Send)
 
     def test_quarantined_stream_is_not_resumed(self):
