Ask an engine for its start before a stream goes on there with its prompt

An engine that started again under its id at another version was taken for its former self until its entry arrived, or for as long as the store was away, and streams that its former self had begun went on there.

Cause: requests name the id alone, and the version is read from the list.

Change: an attempt that goes on with the prompt of a stream bound to a version first asks for the engine's report; a start time other than the listed one counts as another process, as a 421 does. Attempts from a copy need no question, as a new start has none, and first attempts neither. An upstream without a report can't be told apart.

--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -8,9 +8,15 @@
 
 from bronzeline_daemon.forwarding.connection_pool import Connection, ConnectionPool
 from bronzeline_daemon.forwarding.exchange import Exchange, OutgoingRequest
-from bronzeline_kernel.exceptions import StreamBrokenError, UpstreamUnreachableError
+from bronzeline_kernel.exceptions import (
+    StreamBrokenError,
+    UpstreamError,
+    UpstreamRefusedError,
+    UpstreamUnreachableError,
+)
 from bronzeline_kernel.forwarding import (
     CallerRequest,
+    EngineClient,
     Fault,
     ListedUpstream,
     ResponseHead,
@@ -56,6 +62,7 @@
     workspace: WorkspaceKeys | None
     connection_pool: ConnectionPool
     wire: WireFormat
+    engines: EngineClient
     listener: AttemptListener
     started_at_ms: float
     head: ResponseHead | None = None
@@ -96,7 +103,23 @@
         else:
             self.listener.on_lost(number, fault)
 
+    async def _verify_start(self) -> Fault | None:
+        """Return why the request is not sent, if the upstream was started anew."""
+        try:
+            has_started_anew = not await self.engines.has_listed_start(
+                self.send.upstream
+            )
+        except UpstreamRefusedError:
+            return Fault.FULL
+        except UpstreamError:
+            return Fault.UNREACHABLE
+        return Fault.REPLACED if has_started_anew else None
+
     async def _exchange(self) -> Fault | None:
+        if self.send.verifies_start:
+            fault = await self._verify_start()
+            if fault is not None:
+                return fault
         address = self.send.upstream.address
         try:
             connection = await self.connection_pool.acquire(
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -222,6 +222,7 @@
             self._workspace,
             self.context.connection_pool,
             self.context.wire,
+            self.context.engines,
             self._listener,
             self.now_ms(),
         )
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_context.py
@@ -17,6 +17,7 @@
 from bronzeline_kernel.admission import RetryBudget
 from bronzeline_kernel.forwarding import (
     Action,
+    EngineClient,
     Fault,
     ListedUpstream,
     Quarantine,
@@ -69,6 +70,7 @@
     clock: Clock
     connection_pool: ConnectionPool
     wire: WireFormat
+    engines: EngineClient
     prober: Prober
     run_copier: RunCopier
     earlier_runs: EarlierRunFinder
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -122,6 +122,7 @@
             clock,
             self.connection_pool,
             wire,
+            engines,
             Prober(),
             RunCopier(engines),
             EarlierRunFinder(
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -127,6 +127,8 @@
     # None if no choice was made: for a resume from a copy, which runs at its keeper,
     # or a retry on the same upstream.
     choice: Choice | None = None
+    # Whether to ask first if the upstream is still the process that the list names.
+    verifies_start: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -151,6 +151,12 @@
     ) -> UpstreamIdentity:
         """Identify the process at an upstream's address; raises `UpstreamError`."""
 
+    async def has_listed_start(self, upstream: ListedUpstream) -> bool:
+        """Return whether the process that the list names runs; raises `UpstreamError`.
+
+        One that has started anew under the same id may have another version.
+        """
+
 
 @dataclass(frozen=True)
 class ResponseHead:
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -442,7 +442,15 @@
             self.placement.load(copy_to.upstream_id).n_copies += 1
         budget_ms = max(0.0, self.deadline_ms - now_ms)
         return Send(
-            counts.n_sent, upstream, budget_ms, self.last_event, copy, copy_to, choice
+            counts.n_sent,
+            upstream,
+            budget_ms,
+            self.last_event,
+            copy,
+            copy_to,
+            choice,
+            # A process that has started anew has no copy, and does not run the request.
+            verifies_start=copy is None and not self.binding.is_open,
         )
 
     def _record_fault(self, attempt: Attempt, fault: Fault, now_ms: float) -> None:
