--- a/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -28,7 +28,7 @@
         "version": action.upstream.version,
         "budget_ms": round(action.budget_ms),
         "after_event": action.after_event,
-        "copy_from": _id_of(action.copy_from.keeper if action.copy_from else None),
+        "copy_from": _id_of(action.copy_from.holder if action.copy_from else None),
         "copy_id": action.copy_from.copy_id if action.copy_from else "",
         "copy_to": _id_of(action.copy_to),
         "copy_version": action.copy_to.version if action.copy_to else "",
--- a/packages/daemon/bronzeline_daemon/forwarding/run_copier.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/run_copier.py
@@ -40,14 +40,14 @@
         copy = None
         error = ""
         try:
-            copy = await self._engines.copy_run(request, action.source, action.keeper)
+            copy = await self._engines.copy_run(request, action.source, action.holder)
         except UpstreamError as failure:
             error = str(failure)
         log_event(
             "copy_made" if copy else "copy_failed",
             request_id=request.request_id,
             source_id=action.source.upstream_id,
-            keeper_id=action.keeper.upstream_id,
+            keeper_id=action.holder.upstream_id,
             error=error,
         )
         on_copy(action.number, copy)
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -218,7 +218,7 @@
         self.context.peers.share_run(
             RunRecord(
                 self._identity.run_hash,
-                copy.keeper.upstream_id,
+                copy.holder.upstream_id,
                 copy.named_by.upstream_id,
                 copy.copy_id,
             )
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -106,10 +106,10 @@
 class CopySource:
     """Locate a copy of a run's engine memory.
 
-    `keeper` stores the copy; `copy_id` is its id at the upstream `named_by`.
+    `holder` stores the copy; `copy_id` is its id at the upstream `named_by`.
     """
 
-    keeper: ListedUpstream
+    holder: ListedUpstream
     named_by: ListedUpstream
     copy_id: str
 
@@ -124,7 +124,7 @@
     after_event: int = 0
     copy_from: CopySource | None = None
     copy_to: ListedUpstream | None = None
-    # None if no choice was made: for a resume from a copy, which runs at its keeper,
+    # None if no choice was made: for a resume from a copy, which runs at its holder,
     # or a retry on the same upstream.
     choice: Choice | None = None
     # Whether to ask first if the upstream is still the process that the list names.
@@ -147,11 +147,11 @@
 
 @dataclass(frozen=True)
 class CopyRun:
-    """Copy the engine memory of an attempt's run to a keeper."""
+    """Copy the engine memory of an attempt's run to a holder."""
 
     number: int
     source: ListedUpstream
-    keeper: ListedUpstream
+    holder: ListedUpstream
 
 
 @dataclass(frozen=True)
--- a/packages/kernel/bronzeline_kernel/forwarding/placement.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/placement.py
@@ -1,4 +1,4 @@
-"""Choose the upstream for a request and the keeper of its copy."""
+"""Choose the upstream for a request and the holder of its copy."""
 
 from __future__ import annotations
 
@@ -229,22 +229,22 @@
         """Count a request against the limit of an upstream, if it named one."""
         self.limits.record_send(upstream.incarnation, now_ms)
 
-    def is_keeper_available(self, keeper: ListedUpstream, now_ms: float) -> bool:
-        """Return whether the keeper of a copy, and its zone, seem to be alive."""
-        if self._is_zone_suspect(keeper, now_ms):
+    def is_holder_available(self, holder: ListedUpstream, now_ms: float) -> bool:
+        """Return whether the holder of a copy, and its zone, seem to be alive."""
+        if self._is_zone_suspect(holder, now_ms):
             return False
-        return self.may_keeper_hold(keeper, now_ms)
+        return self.may_holder_serve(holder, now_ms)
 
-    def may_keeper_hold(self, keeper: ListedUpstream, now_ms: float) -> bool:
-        """Return whether the keeper of a copy has not failed, restarted or left.
+    def may_holder_serve(self, holder: ListedUpstream, now_ms: float) -> bool:
+        """Return whether the holder of a copy has not failed, restarted or left.
 
         Its zone may be suspect because of another upstream.
         """
-        if not self.upstreams.is_staying(keeper):
+        if not self.upstreams.is_staying(holder):
             return False
-        if self.upstreams.is_superseded(keeper):
+        if self.upstreams.is_superseded(holder):
             return False
-        return not self.health.is_avoided(keeper.incarnation, now_ms)
+        return not self.health.is_avoided(holder.incarnation, now_ms)
 
     def _cheapest(
         self,
--- a/packages/kernel/bronzeline_kernel/forwarding/protocols.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/protocols.py
@@ -136,12 +136,12 @@
     may_call: Callable[[ListedUpstream], bool]
 
     async def copy_run(
-        self, request: CallerRequest, source: ListedUpstream, keeper: ListedUpstream
+        self, request: CallerRequest, source: ListedUpstream, holder: ListedUpstream
     ) -> CopySource:
-        """Copy the new part of a run's memory to a keeper; raises `UpstreamError`."""
+        """Copy the new part of a run's memory to a holder; raises `UpstreamError`."""
 
     async def drop_copy(self, copy: CopySource) -> None:
-        """Free a copy at its source and keeper; raises `UpstreamError`."""
+        """Free a copy at its source and holder; raises `UpstreamError`."""
 
     async def list_prompts(self, upstream: ListedUpstream) -> Mapping[str, int]:
         """Return the cached tokens of each prompt part; raises `UpstreamError`."""
--- a/packages/kernel/bronzeline_kernel/forwarding/run_directory.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/run_directory.py
@@ -53,8 +53,8 @@
         record = self.pop_record(hash_of_request, now_ms)
         if record is None:
             return None
-        keeper = self._upstreams.get(record.keeper_id)
+        holder = self._upstreams.get(record.keeper_id)
         named_by = self._upstreams.get(record.named_by_id)
-        if keeper is None or named_by is None:
+        if holder is None or named_by is None:
             return None
-        return CopySource(keeper, named_by, record.copy_id)
+        return CopySource(holder, named_by, record.copy_id)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_attempt.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_attempt.py
@@ -35,7 +35,7 @@
         if not self.has_events:
             return []
         copies = [self.copy] if self.copy is not None else []
-        keeper = self.copy_to
-        if keeper is not None:
-            copies.append(CopySource(keeper, keeper, request_id))
+        holder = self.copy_to
+        if holder is not None:
+            copies.append(CopySource(holder, holder, request_id))
         return copies
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_choice.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_choice.py
@@ -29,8 +29,8 @@
 
     def may_resume_from(self, copy: CopySource, now_ms: float) -> bool:
         """Return whether the stream may go on from a copy that a peer told of."""
-        holder = copy.keeper
-        if not self.placement.may_keeper_hold(holder, now_ms):
+        holder = copy.holder
+        if not self.placement.may_holder_serve(holder, now_ms):
             return False
         if not self.binding.allows(holder):
             return False
@@ -39,7 +39,7 @@
     def copy_after_loss(self, attempt: Attempt, now_ms: float) -> CopySource | None:
         """Return the copy of a lost attempt from which the stream may go on."""
         copy = self.copies.to_try(attempt, now_ms)
-        if copy is None or not self.binding.allows(copy.keeper):
+        if copy is None or not self.binding.allows(copy.holder):
             return None
         return copy
 
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_copies.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_copies.py
@@ -15,58 +15,58 @@
 
 @dataclass(frozen=True)
 class StreamCopies:
-    """Relate the copies of one stream's attempts to the health of their keepers."""
+    """Relate the copies of one stream's attempts to the health of their holders."""
 
     request_id: str
     placement: Placement
     options: StreamOptions
 
     def best(self, attempt: Attempt, now_ms: float) -> CopySource | None:
-        """Return a copy whose keeper seems to be alive, None without one."""
+        """Return a copy whose holder seems to be alive, None without one."""
         for copy in attempt.copies(self.request_id):
-            if self.placement.is_keeper_available(copy.keeper, now_ms):
+            if self.placement.is_holder_available(copy.holder, now_ms):
                 return copy
         return None
 
     def to_try(self, attempt: Attempt, now_ms: float) -> CopySource | None:
-        """Return the copy to resume from, also one whose keeper's zone is suspect.
+        """Return the copy to resume from, also one whose holder's zone is suspect.
 
-        A dead keeper is noticed soon, and reading the prompt again takes longer.
+        A dead holder is noticed soon, and reading the prompt again takes longer.
         """
         placement = self.placement
         copies = [
             copy
             for copy in attempt.copies(self.request_id)
-            if placement.may_keeper_hold(copy.keeper, now_ms)
-            and self.may_resume_on(copy.keeper, now_ms)
+            if placement.may_holder_serve(copy.holder, now_ms)
+            and self.may_resume_on(copy.holder, now_ms)
         ]
         for copy in copies:
-            if placement.is_keeper_available(copy.keeper, now_ms):
+            if placement.is_holder_available(copy.holder, now_ms):
                 return copy
         return copies[0] if copies else None
 
-    def may_resume_on(self, keeper: ListedUpstream, now_ms: float) -> bool:
-        """Return whether a stream may be sent to a keeper now."""
-        return self.placement.permission.may_send_ahead(keeper, now_ms)
+    def may_resume_on(self, holder: ListedUpstream, now_ms: float) -> bool:
+        """Return whether a stream may be sent to a holder now."""
+        return self.placement.permission.may_send_ahead(holder, now_ms)
 
     def maintain(self, attempt: Attempt, now_ms: float) -> CopyRun | None:
         """Return the request for a new or fresher copy, if one is due.
 
-        The engine itself keeps up the copy at the keeper sent with the attempt, until
-        that keeper is lost.
+        The engine itself keeps up the copy at the holder sent with the attempt, until
+        that holder is lost.
         """
         if not attempt.has_events or attempt.copy_to is None:
             return None
         if now_ms < attempt.copy_due_ms:
             return None
-        is_available = self.placement.is_keeper_available
+        is_available = self.placement.is_holder_available
         if attempt.copy is None and is_available(attempt.copy_to, now_ms):
             return None
-        keeper = attempt.copy.keeper if attempt.copy else None
-        if keeper is None or not is_available(keeper, now_ms):
-            keeper = self.placement.choose_for_copy(attempt.upstream, now_ms)
+        holder = attempt.copy.holder if attempt.copy else None
+        if holder is None or not is_available(holder, now_ms):
+            holder = self.placement.choose_for_copy(attempt.upstream, now_ms)
         may_call = self.placement.permission.may_call
-        if keeper is None or not may_call(attempt.upstream, now_ms):
+        if holder is None or not may_call(attempt.upstream, now_ms):
             return None
         attempt.copy_due_ms = now_ms + self.options.copy_refresh_ms
-        return CopyRun(attempt.number, attempt.upstream, keeper)
+        return CopyRun(attempt.number, attempt.upstream, holder)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -307,7 +307,7 @@
         choice = self._choice()
         copy = choice.copy_after_loss(attempt, now_ms)
         if copy is not None:
-            return [self._send(copy.keeper, now_ms, copy)]
+            return [self._send(copy.holder, now_ms, copy)]
         if choice.retry_same(attempt, fault, now_ms):
             return [self._send(attempt.upstream, now_ms)]
         return self._send_prompt(now_ms)
@@ -343,7 +343,7 @@
         copy = self.find_copy(now_ms)
         if copy is None or not self._choice().may_resume_from(copy, now_ms):
             return []
-        return [self._send(copy.keeper, now_ms, copy)]
+        return [self._send(copy.holder, now_ms, copy)]
 
     def _is_unproven(self, now_ms: float, *, is_searched: bool) -> bool:
         """Return whether no upstream is certain to continue what the caller has."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/load_player.py
@@ -243,12 +243,12 @@
             engine.runs.append(engine_run)
 
     def copy(self, engine_run):
-        """Send a run's memory to its keeper, as engines do with each event."""
-        keeper = self.engines.get(engine_run.copy_to)
-        if keeper is None or keeper.is_lost:
+        """Send a run's memory to its holder, as engines do with each event."""
+        holder = self.engines.get(engine_run.copy_to)
+        if holder is None or holder.is_lost:
             return
-        if not any(caller is engine_run.caller for caller in keeper.copies):
-            keeper.copies.append(engine_run.caller)
+        if not any(caller is engine_run.caller for caller in holder.copies):
+            holder.copies.append(engine_run.caller)
 
     def resume_from_copy(self, engine_run, upstream_id):
         """Leave nothing to read for a run whose memory the engine keeps."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/placement_tests.py
@@ -72,13 +72,13 @@
         names = sorted(item.upstream_id for item in candidates)
         self.assertEqual(names, ["zone-a-1", "zone-b-0", "zone-c-0", "zone-c-1"])
 
-    def test_keeper_is_in_another_zone(self):
+    def test_holder_is_in_another_zone(self):
         primary = self.placement.choose_for_stream(ENGINES, 0.0).upstream
         for _ in range(20):
-            keeper = self.placement.choose_for_copy(primary, 0.0)
-            self.assertNotEqual(keeper.availability_zone, primary.availability_zone)
+            holder = self.placement.choose_for_copy(primary, 0.0)
+            self.assertNotEqual(holder.availability_zone, primary.availability_zone)
 
-    def test_keeper_is_in_same_zone_only_without_other_zones(self):
+    def test_holder_is_in_same_zone_only_without_other_zones(self):
         one_zone = placement([upstream("a"), upstream("b")])
         self.assertEqual(one_zone.choose_for_copy(upstream("a"), 0.0).upstream_id, "b")
         one_upstream = placement([upstream("a")])
@@ -95,18 +95,18 @@
         self.assertIsNotNone(self.placement.choose_for_stream(ENGINES, 1.0))
 
     @params(("gone", False), ("restarted", False), ("avoided", False), ("here", True))
-    def test_keeper_is_available_unless_gone_restarted_or_avoided(
+    def test_holder_is_available_unless_gone_restarted_or_avoided(
         self, state, expected
     ):
-        keeper = fleet()[-1]
+        holder = fleet()[-1]
         if state == "gone":
-            self.placement.upstreams.remove(keeper.upstream_id, 0.0)
+            self.placement.upstreams.remove(holder.upstream_id, 0.0)
         elif state == "restarted":
-            later = upstream(keeper.upstream_id, "zone-c", started=2)
+            later = upstream(holder.upstream_id, "zone-c", started=2)
             self.placement.upstreams.put(later)
         elif state == "avoided":
-            self.placement.health.record_failure(keeper.incarnation, 0.0)
-        self.assertEqual(self.placement.is_keeper_available(keeper, 1.0), expected)
+            self.placement.health.record_failure(holder.incarnation, 0.0)
+        self.assertEqual(self.placement.is_holder_available(holder, 1.0), expected)
 
     def test_samples_own_and_other_zones_of_a_large_fleet(self):
         large_fleet = placement(fleet(per_zone=200))
@@ -128,15 +128,15 @@
         expected = LoadByUpstream({"zone-a-0": 1}, {"zone-a-1": 2}, {"zone-b-0": 3})
         self.assertEqual(self.placement.own_load(), expected)
 
-    def test_keeper_choice_counts_copies_of_peers(self):
-        for router_id, keeper in (("x", "zone-b-0"), ("y", "zone-b-1")):
-            load = LoadByUpstream(copies={keeper: 1})
+    def test_holder_choice_counts_copies_of_peers(self):
+        for router_id, holder in (("x", "zone-b-0"), ("y", "zone-b-1")):
+            load = LoadByUpstream(copies={holder: 1})
             self.placement.set_peer_load(router_id, load, 0.0)
-        keepers = {
+        holders = {
             self.placement.choose_for_copy(upstream("zone-a-0"), 1.0).availability_zone
             for _ in range(20)
         }
-        self.assertEqual(keepers, {"zone-c"})
+        self.assertEqual(holders, {"zone-c"})
 
     def test_prune_drops_removed_upstreams_and_old_reports(self):
         gone = [upstream("zone-a-0"), upstream("zone-a-1")]
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/run_directory_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/run_directory_tests.py
@@ -20,7 +20,7 @@
     def test_copy_is_returned_only_once(self):
         copy = self.runs.pop_copy("h", 1.0)
         self.assertEqual(
-            (copy.keeper.upstream_id, copy.named_by.upstream_id, copy.copy_id),
+            (copy.holder.upstream_id, copy.named_by.upstream_id, copy.copy_id),
             ("k", "s", "copy-1"),
         )
         self.assertIsNone(self.runs.pop_copy("h", 1.0))
@@ -36,10 +36,10 @@
         self.runs.put(RunRecord("h", "s", "s", "copy-2"), 1.0)
         self.assertEqual(self.runs.pop_copy("h", 2.0).copy_id, "copy-2")
 
-    @params(("ended", 1.0), ("old", 5_001.0), ("unknown keeper", 1.0))
+    @params(("ended", 1.0), ("old", 5_001.0), ("unknown holder", 1.0))
     def test_no_copy_without_a_valid_record(self, state, now_ms):
         if state == "ended":
             self.runs.remove("h")
-        if state == "unknown keeper":
+        if state == "unknown holder":
             self.runs.put(RunRecord("h", "x", "s", "copy-1"), 0.0)
         self.assertIsNone(self.runs.pop_copy("h", now_ms))
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_limit_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_limit_tests.py
@@ -23,7 +23,7 @@
         self.assertEqual(action.failure, Failure.NOT_RUN)
         self.assertEqual(action.retry_after_ms, 1_000.0)
 
-    def test_a_lost_stream_resumes_ahead_of_its_keepers_limit(self):
+    def test_a_lost_stream_resumes_ahead_of_its_holders_limit(self):
         driver = Driver()
         first = driver.start()
         driver.events(1, 5)
@@ -31,7 +31,7 @@
         second = driver.fail_attempt(1)[0]
         self.assertEqual(second.upstream, first.copy_to)
 
-    def test_a_lost_stream_goes_elsewhere_if_its_keeper_is_far_beyond_its_limit(self):
+    def test_a_lost_stream_goes_elsewhere_if_its_holder_is_far_beyond_its_limit(self):
         driver = Driver()
         first = driver.start()
         driver.events(1, 5)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -53,7 +53,7 @@
 
 
 class LossTests(unittest.TestCase):
-    def test_resumes_from_the_copy_at_the_keeper(self):
+    def test_resumes_from_the_copy_at_the_holder(self):
         driver = Driver()
         first = driver.start()
         driver.events(1, 5)
@@ -256,16 +256,16 @@
         self.assertEqual(driver.run.earlier_run_search_ended(driver.now_ms), [])
 
     def test_copy_known_to_a_peer_is_preferred_over_the_prompt(self):
-        keeper = upstream("zone-b-0", "zone-b")
+        holder = upstream("zone-b-0", "zone-b")
         known_copies = []
         driver = Driver(
             request=request(after_event=5, unique_part_id="own"),
             find_copy=lambda now_ms: known_copies[0] if known_copies else None,
         )
         driver.start()
-        known_copies.append(CopySource(keeper, keeper, "copy-1"))
+        known_copies.append(CopySource(holder, holder, "copy-1"))
         sent = driver.collect(driver.run.earlier_run_search_ended(30.0))[0]
-        self.assertEqual((sent.upstream, sent.copy_from), (keeper, known_copies[0]))
+        self.assertEqual((sent.upstream, sent.copy_from), (holder, known_copies[0]))
 
     def test_search_times_out(self):
         driver = Driver(request=request(after_event=5, unique_part_id="own"))
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
@@ -102,41 +102,41 @@
 
 
 class CopyTests(unittest.TestCase):
-    def remove_keeper(self, driver, first):
+    def remove_holder(self, driver, first):
         driver.placement.upstreams.remove(first.copy_to.upstream_id, driver.now_ms)
 
-    def test_new_copy_is_made_after_loss_of_the_keeper(self):
+    def test_new_copy_is_made_after_loss_of_the_holder(self):
         driver = Driver()
         first = driver.start()
         driver.events(1, 3)
         self.assertEqual(driver.run.tick(driver.now_ms), [])
-        self.remove_keeper(driver, first)
+        self.remove_holder(driver, first)
         copy_run = driver.run.tick(driver.now_ms)[0]
         self.assertIsInstance(copy_run, CopyRun)
-        self.assertNotEqual(copy_run.keeper, first.copy_to)
-        copy = CopySource(copy_run.keeper, copy_run.source, "h-1")
+        self.assertNotEqual(copy_run.holder, first.copy_to)
+        copy = CopySource(copy_run.holder, copy_run.source, "h-1")
         driver.run.copied(1, copy, driver.now_ms)
         second = driver.fail_attempt(1)[0]
-        self.assertEqual((second.upstream, second.copy_from), (copy_run.keeper, copy))
+        self.assertEqual((second.upstream, second.copy_from), (copy_run.holder, copy))
 
     def test_copy_on_request_is_refreshed_and_dropped_at_the_end(self):
         driver = Driver()
         first = driver.start()
         driver.events(1, 3)
-        self.remove_keeper(driver, first)
+        self.remove_holder(driver, first)
         copy_run = driver.run.tick(driver.now_ms)[0]
-        copy = CopySource(copy_run.keeper, copy_run.source, "h-1")
+        copy = CopySource(copy_run.holder, copy_run.source, "h-1")
         driver.run.copied(1, copy, driver.now_ms)
         driver.events(1, 70)
         refresh = driver.run.tick(driver.now_ms)[0]
-        self.assertEqual(refresh.keeper, copy_run.keeper)
+        self.assertEqual(refresh.holder, copy_run.holder)
         self.assertEqual(driver.run.ended(1), [Finish(1), DropCopy(copy)])
 
     def test_failed_copy_is_retried_later(self):
         driver = Driver()
         first = driver.start()
         driver.events(1, 3)
-        self.remove_keeper(driver, first)
+        self.remove_holder(driver, first)
         driver.run.tick(driver.now_ms)
         driver.run.copied(1, None, driver.now_ms)
         self.assertEqual(driver.run.tick(driver.now_ms + 100.0), [])
@@ -154,23 +154,23 @@
         self.assertEqual(actions, [DropCopy(copy)])
 
     def test_resent_request_resumes_from_the_earlier_copy(self):
-        keeper = fleet()[-1]
-        copy = CopySource(keeper, keeper, "id-0")
+        holder = fleet()[-1]
+        copy = CopySource(holder, holder, "id-0")
         driver = Driver(find_copy=lambda now_ms: copy)
         first = driver.start()
-        self.assertEqual((first.upstream, first.copy_from), (keeper, copy))
+        self.assertEqual((first.upstream, first.copy_from), (holder, copy))
         self.assertIsNone(driver.fail_attempt(1, Fault.FULL)[0].copy_from)
 
 
-class SuspectKeeperTests(unittest.TestCase):
-    """The keeper's zone is reported lost, because of another of its upstreams."""
+class SuspectHolderTests(unittest.TestCase):
+    """The holder's zone is reported lost, because of another of its upstreams."""
 
     def setUp(self):
         self.driver = Driver()
         self.sent = self.driver.start()
         self.driver.events(1, 5)
-        keeper = self.sent.copy_to
-        zone = (ENGINES, keeper.availability_zone)
+        holder = self.sent.copy_to
+        zone = (ENGINES, holder.availability_zone)
         self.driver.now_ms += 100.0
         self.driver.placement.health.record_peer_zone_loss(zone, self.driver.now_ms)
 
@@ -179,7 +179,7 @@
         self.assertEqual(resumed.upstream, self.sent.copy_to)
         self.assertIsNotNone(resumed.copy_from)
 
-    def test_the_prompt_is_read_again_only_once_the_keeper_is_lost_too(self):
+    def test_the_prompt_is_read_again_only_once_the_holder_is_lost_too(self):
         self.driver.fail_attempt(1)
         retried = self.driver.fail_attempt(2, Fault.UNREACHABLE)[0]
         self.assertIsNone(retried.copy_from)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/upstream_notices_tests.py
@@ -244,7 +244,7 @@
         self.assertNotEqual(again.upstream.address, send.upstream.address)
 
     @params("response", "rest", "list", "removed")
-    def test_a_stream_does_not_resume_on_a_leaving_keeper(self, source):
+    def test_a_stream_does_not_resume_on_a_leaving_holder(self, source):
         driver = Driver()
         send = driver.start()
         driver.events(send.number, 3)
@@ -254,25 +254,25 @@
         self.assertNotEqual(again.upstream.address, send.copy_to.address)
 
     @params("response", "rest", "list")
-    def test_a_stream_of_another_router_does_not_resume_on_a_leaving_keeper(
+    def test_a_stream_of_another_router_does_not_resume_on_a_leaving_holder(
         self, source
     ):
         driver = Driver()
-        keeper = fleet(2)[-1]
-        driver.run.find_copy = lambda now_ms: CopySource(keeper, keeper, "id-1")
-        self.leave(driver, keeper, source)
+        holder = fleet(2)[-1]
+        driver.run.find_copy = lambda now_ms: CopySource(holder, holder, "id-1")
+        self.leave(driver, holder, source)
         send = driver.start()
         self.assertIsNone(send.copy_from)
-        self.assertNotEqual(send.upstream.address, keeper.address)
+        self.assertNotEqual(send.upstream.address, holder.address)
 
     @params("response", "list")
-    def test_the_copy_of_a_stream_moves_from_a_leaving_keeper(self, source):
+    def test_the_copy_of_a_stream_moves_from_a_leaving_holder(self, source):
         driver = Driver()
         send = driver.start()
         driver.events(send.number, 3)
         self.leave(driver, send.copy_to, source)
         ((_, action),) = driver.wait(50.0)
-        self.assertNotEqual(action.keeper.address, send.copy_to.address)
+        self.assertNotEqual(action.holder.address, send.copy_to.address)
 
     @params(
         ("response", Fault.BROKEN, False),
