--- a/packages/daemon/bronzeline_daemon/forwarding/attempt.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt.py
@@ -104,7 +104,7 @@
             self.listener.on_lost(number, fault)
 
     async def _verify_start(self) -> Fault | None:
-        """Return why the request is not sent, if the upstream was started anew."""
+        """Ask the upstream for its start; return why nothing is sent, if so."""
         try:
             has_started_anew = not await self.engines.has_listed_start(
                 self.send.upstream
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -174,7 +174,7 @@
         """Clean up after the request has ended."""
 
     def on_upstream_crashed(self) -> None:
-        """Handle the death of an upstream during an attempt."""
+        """Handle the crash of an upstream during an attempt."""
 
     def on_process_stall(self) -> None:
         """Handle a pause in which this process or the caller did not read."""
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -241,7 +241,7 @@
             self.context.peers.end_run(self._identity.run_hash)
 
     def on_upstream_crashed(self) -> None:
-        """Count a death among the upstreams that died in a row."""
+        """Count a crash among the upstreams that crashed in a row."""
         self._run.upstream_crashed()
 
     def on_process_stall(self) -> None:
