End the search for a stream's origin once most of the peers asked have answered

Since a stream that is taken up is searched for before the only version counts, callers that come back after the loss of routers waited for peers that were lost too: 80 ms. A record is at five peers; three answers, or one that knows it, end the search.

--- a/packages/daemon/bronzeline_daemon/forwarding/origin_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/origin_exchange.py
@@ -26,7 +26,7 @@
 
 @dataclass
 class Lookup:
-    """Count the peers that have not answered yet."""
+    """Count the peers that must still answer."""
 
     n_pending: int
     is_done: asyncio.Event = field(default_factory=asyncio.Event)
@@ -59,11 +59,14 @@
             self._peers.send_to(origin, peer)
 
     async def find(self, request_id: str, request_hash: str) -> None:
-        """Ask peers; wait until one knows, all have answered or 80 ms have passed."""
+        """Ask peers; wait until one knows or most have answered, 80 ms at most.
+
+        Some of them may have been lost together with the router that asked before.
+        """
         holders = self._peers.peer_list.origin_holders(request_hash)
         if not holders or request_hash in self._lookups:
             return
-        lookup = self._lookups[request_hash] = Lookup(len(holders))
+        lookup = self._lookups[request_hash] = Lookup(len(holders) // 2 + 1)
         for peer in holders:
             self._peers.send_to(OriginAsked(request_id, request_hash), peer)
         try:
@@ -105,5 +108,5 @@
         if lookup is None:
             return
         lookup.n_pending -= 1
-        if not lookup.n_pending:
+        if lookup.n_pending <= 0:
             lookup.is_done.set()
