--- a/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/attempt_fields.py
@@ -22,10 +22,10 @@
     """Return the log fields that tell where an attempt goes, and why."""
     return {
         "number": action.number,
-        "host": request.host,
-        "service": action.upstream.service,
         "upstream_id": action.upstream.upstream_id,
         "version": action.upstream.version,
+        "host": request.host,
+        "service": action.upstream.service,
         "budget_ms": round(action.budget_ms),
         "after_event": action.after_event,
         "copy_from": _id_of(action.copy_from.holder if action.copy_from else None),
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/request_identity_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/request_identity_tests.py
@@ -10,7 +10,7 @@
     model="m",
     prompt_parts="a:1,b:2",
     body=b"brief",
-    stable_headers=(("Accept", "text/event-stream"), ("X-Token-Usage", "3,700")),
+    stable_headers=(("Accept", "text/event-stream"), ("Usage", "3,700")),
 )
 
 
@@ -33,13 +33,13 @@
         ({"prompt_parts": "a:1,c:2"}, False, False),
         ({"body": b"another brief"}, False, False),
         # What changes the response only.
-        ({"stable_headers": (("X-Token-Usage", "3,700"),)}, False, True),
-        ({"stable_headers": (("X-Token-Usage", "3,9"),)}, False, True),
+        ({"stable_headers": (("Usage", "3,700"),)}, False, True),
+        ({"stable_headers": (("Usage", "3,9"),)}, False, True),
         # What differs from one send to the next.
         ({"request_id": "id-2"}, True, True),
         ({"budget_ms": 9.0}, True, True),
         ({"after_event": 12, "resumes_id": "id-1"}, True, True),
-        ({"headers": (("X-Attempt-Id", "id-2"),)}, True, True),
+        ({"headers": (("Request-Id", "id-2"),)}, True, True),
         ({"host": "DESK.example:8740"}, True, True),
         ({"stable_headers": REQUEST.stable_headers[::-1]}, True, True),
         ({"n_prompt_tokens": 9}, True, True),
