Hold what a reader has read as gone before it proves that it can read

After a true outage a follower dropped all entries that had lapsed, and answered 503 until they were back.

Cause: a reader's list of upstreams may be answered before its configuration. Its next proof has the changes and still the old age, so that the follower's failed call was not taken as ended, and nothing was held. Evidence: state=gone held_for_ms=0 at a follower 180 ms after held_for_ms=2000 at the reader.

Change: newer changes of a peer, while this router's own calls fail, are held, too.

--- a/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/proof_exchange.py
@@ -153,6 +153,7 @@
             self._view.lease.renew(read_at_ms + proof.read_age_ms - proof.age_ms)
         if proof.position <= self._view.changes.position:
             return
+        self._view.expect_peer_changes(now_ms)
         if proof.changes is None:
             self._watch.fetch_upstreams_from(peer)
         else:
--- a/packages/kernel/bronzeline_kernel/forwarding/store_contact.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/store_contact.py
@@ -48,6 +48,12 @@
             self.record_failure(asked_at_ms)
         return self._record_read(read_at_ms)
 
+    def is_failing(self, now_ms: float) -> bool:
+        """Return whether calls of this router failed since the last known reading."""
+        asked_at_ms = self._asked_at_ms
+        is_silent = asked_at_ms is not None and now_ms - asked_at_ms >= UNANSWERED_MS
+        return is_silent or self._failed_at_ms is not None
+
     def _record_read(self, read_at_ms: float) -> float | None:
         last_read_at_ms, failed_at_ms = self._read_at_ms, self._failed_at_ms
         if last_read_at_ms is not None and read_at_ms <= last_read_at_ms:
--- a/packages/kernel/bronzeline_kernel/forwarding/view.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/view.py
@@ -78,6 +78,14 @@
         """Record when a peer read the store; returns the same as `store_answered`."""
         return self._end_outage(self.contact.record_peer_reading(read_at_ms), now_ms)
 
+    def expect_peer_changes(self, now_ms: float) -> None:
+        """Hold removals that a peer has read while this router can't read the store.
+
+        Its changes may come before the proof that it can read the configuration.
+        """
+        if self.contact.is_failing(now_ms):
+            self.upstreams.store_recovered(now_ms)
+
     def _end_outage(self, away_ms: float | None, now_ms: float) -> float | None:
         """Hold removals after an outage: entries may have lapsed in it."""
         if away_ms is not None:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/store_contact_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/store_contact_tests.py
@@ -42,6 +42,27 @@
         """Followers held removals for an outage that only their reader had seen."""
         self.assertEqual(away_ms((ANSWER, 0.0), *events), expected)
 
+    @params(
+        ([], 500.0, False),
+        ([(CALL, 100.0)], 500.0, False),
+        ([(CALL, 100.0)], 600.0, True),
+        ([(FAILED, 100.0)], 500.0, True),
+        ([(FAILED, 100.0), (PEER, 50.0)], 500.0, True),
+        ([(FAILED, 100.0), (PEER, 150.0)], 500.0, False),
+    )
+    def test_changes_before_a_newer_proof_come_in_an_outage(self, events, at_ms, fails):
+        """A follower dropped entries that its reader had read as gone, and held."""
+        contact = StoreContact()
+        contact.record_answer(0.0)
+        for kind, event_ms in events:
+            if kind == PEER:
+                contact.record_peer_reading(event_ms)
+            elif kind == CALL:
+                contact.record_call(event_ms)
+            else:
+                contact.record_failure(event_ms)
+        self.assertEqual(contact.is_failing(at_ms), fails)
+
     @params(([], None), ([(FAILED, 100.0)], 500.0))
     def test_a_router_that_starts_during_an_outage_knows_of_it(self, events, expected):
         self.assertEqual(away_ms(*events, (ANSWER, 600.0)), expected)
