Remove a hook of the plain runner that no case uses

Cause: read anew, the stand-in had a callback without a caller. Change: it is removed; two doc comments say what the class does.

--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -31,7 +31,7 @@
 
 
 class Runner:
-    """Serve one address; a crash closes it and resets nothing by itself."""
+    """Serve one address; a crash closes all channels, and a new boot follows."""
 
     def __init__(self, store, name: str, service: str, zone: str, slots: int) -> None:
         self.store, self.name, self.service, self.zone = store, name, service, zone
@@ -181,19 +181,15 @@
 
 
 class PlainRunner(Runner):
-    """Answer each request after its work with a body of the size that it asks for."""
+    """Answer each request after its work; `body` returns the answer's body."""
 
     def __init__(self, *args, work_s=0.03, body: Callable[[Message], bytes]) -> None:
         super().__init__(*args)
         self.work_s, self.body = work_s, body
-        self.on_run: Callable[[Runner, Message], bool] = lambda runner, head: True
 
     async def run(self, head, arrival, writer) -> bool:
         async with self._gate:
             arrival.ran_at_s = time.monotonic()
-            if not self.on_run(self, head):
-                arrival.outcome = "crash"
-                return False
             await asyncio.sleep(self.work_s)
         arrival.outcome = "ok"
         writer.write(response(200, self.receipt(head), self.body(head)))
