Refuse requests once a configuration holds no workspaces

Cause: "no section of workspaces, so no key is needed" and "no workspaces, so no key is valid" were the same empty list from the reader on; `needs_keys` asked whether it had entries. `configuration_taken` showed it: version 12 arrives everywhere within 0.4 s with needs_keys=False n_workspaces=0. Change: `ForwardingConfig.workspaces` is None without the section. The reader, the document between routers, admission and check-config tell the two apart. Documents of an earlier build, which can't, have another name and are not read. check-config's `keys_not_needed` meant an empty list; it means a missing section now, and an empty one is `no_workspaces`. Why it works: a version with the section can't lead to the branch of admission that ignores keys, however many entries it has, at any router and moment.

--- a/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/directory_watch.py
@@ -265,9 +265,9 @@
             "configuration_taken" if is_applied else "configuration_declined",
             version=config.version,
             in_force=self._view.version,
-            needs_keys=bool(config.workspaces),
-            n_workspaces=len(config.workspaces),
-            n_keys=sum(len(item.keys) for item in config.workspaces),
+            needs_keys=config.needs_keys,
+            n_workspaces=len(config.workspaces or ()),
+            n_keys=sum(len(item.keys) for item in config.workspaces or ()),
             source=_source_name(peer),
         )
         if is_applied:
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/peer_documents_tests.py
@@ -2,6 +2,8 @@
 import zlib
 from types import SimpleNamespace
 
+import msgpack
+
 from bronzeline_daemon.clock import BootClock
 from bronzeline_daemon.forwarding.peer_documents import PeerDocuments
 from bronzeline_kernel.exceptions import UpstreamError
@@ -57,6 +59,23 @@
         listing = await self.reader.read_upstreams(self.peer, StorePosition())
         self.assertEqual((listing.upstreams, listing.position), (tuple(fleet()), at(7)))
 
+    async def test_a_peer_learns_whether_keys_are_needed(self):
+        view = make_view()
+        self.serve(view)
+        for version, keys in enumerate((None, (), ("key-1",)), 1):
+            view.apply_config(config(version, keys=keys), 0.0)
+            result = await self.reader.read_config(self.peer)
+            self.assertEqual(result, view.table.config)
+            self.assertEqual(result.needs_keys, keys is not None)
+
+    async def test_a_configuration_of_an_earlier_build_is_not_read(self):
+        """It can't say whether keys are needed where it has no workspaces."""
+        server = self.serve(make_view(4))
+        document = msgpack.packb(["ForwardingConfig", 4, [], [], {}, []])
+        server._compressed["/configuration"] = (4, zlib.compress(document))
+        with self.assertRaises(UpstreamError):
+            await self.reader.read_config(self.peer)
+
     async def test_the_list_of_routers_includes_the_peer_itself(self):
         self.serve(make_view(), [OWN])
         listing = await self.reader.read_routers(self.peer)
--- a/packages/kernel/bronzeline_kernel/config_check/differences.py
+++ b/packages/kernel/bronzeline_kernel/config_check/differences.py
@@ -104,12 +104,13 @@
 
 
 def find_opened_routes(draft: ConfigDraft, current: ConfigDraft) -> Iterator[Issue]:
-    """Yield the end of all workspaces, after which routes need no key any more."""
-    if not current.workspaces or draft.workspaces or draft.names["workspace"]:
+    """Yield a missing section of workspaces, without which routes need no key."""
+    if draft.needs_keys or not current.needs_keys:
         return
     if not all(route.is_public for route in draft.routes.values()):
         message = (
-            "without workspaces, requests on all routes are admitted without a key"
+            "without this field, which the version in force has, requests on all "
+            "routes are admitted without a key; an empty list refuses them"
         )
         yield Issue("keys_not_needed", ("workspaces",), message)
 
@@ -119,6 +120,11 @@
     yield from _compare_entries("route", current, draft)
     yield from _compare_entries("service", current, draft)
     yield from _compare_entries("workspace", current, draft)
+    if draft.needs_keys != current.needs_keys:
+        before, after = _text(current.needs_keys), _text(draft.needs_keys)
+        yield Difference(
+            ChangeKind.CHANGED, "workspaces", "", "need for keys", before, after
+        )
     if draft.limits is not None and current.limits is not None:
         yield from _compare_fields("limits", "", [current.limits], [draft.limits])
 
--- a/packages/kernel/bronzeline_kernel/config_check/draft.py
+++ b/packages/kernel/bronzeline_kernel/config_check/draft.py
@@ -21,8 +21,8 @@
     """Hold the readable entries of a configuration by position in their list.
 
     `findings` says what can't be read. `names` has the names of routes, services and
-    workspaces, also of those of which only the name can be read. `spell` writes a
-    location as the document does.
+    workspaces, also of those of which only the name can be read. `needs_keys` is as in
+    `ForwardingConfig`. `spell` writes a location as the document does.
     """
 
     spell: Callable[[Location], str]
@@ -32,6 +32,7 @@
     routes: Mapping[int, Route] = field(default_factory=dict)
     services: Mapping[int, ServiceInfo] = field(default_factory=dict)
     workspaces: Mapping[int, WorkspaceKeys] = field(default_factory=dict)
+    needs_keys: bool = True
     limits: CallerLimits | None = None
     has_all_routes: bool = True
     findings: tuple[Finding, ...] = ()
--- a/packages/kernel/bronzeline_kernel/config_check/effect_rules.py
+++ b/packages/kernel/bronzeline_kernel/config_check/effect_rules.py
@@ -85,6 +85,18 @@
                 )
 
 
+def find_missing_workspaces(draft: ConfigDraft) -> Iterator[Issue]:
+    """Yield an empty section of workspaces, with which no key is valid."""
+    if not draft.needs_keys or draft.names["workspace"] or draft.workspaces:
+        return
+    if not all(route.is_public for route in draft.routes.values()):
+        message = (
+            "there are no workspaces, so no key is valid and all requests on routes "
+            "that aren't public are refused"
+        )
+        yield Issue("no_workspaces", ("workspaces",), message)
+
+
 def find_workspaces_without_keys(draft: ConfigDraft) -> Iterator[Issue]:
     """Yield workspaces that no request can belong to."""
     for position, workspace in draft.workspaces.items():
@@ -99,5 +111,6 @@
     find_hosts_in_other_case,
     find_unused_services,
     find_weightless_shares,
+    find_missing_workspaces,
     find_workspaces_without_keys,
 )
--- a/packages/kernel/bronzeline_kernel/forwarding/admission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/admission.py
@@ -76,7 +76,7 @@
     allowed_ms = allowed_time_ms(request, route)
     if stop is not None and not stop.accepts(route, allowed_ms, arrived_at_ms):
         return Refused(Refusal.STOPPING, "stopping", STOPPING_RETRY_AFTER_MS)
-    if route.is_public or not table.needs_keys:
+    if route.is_public or not table.config.needs_keys:
         return Admitted(route, None)
     if not is_current:
         return _not_ready("keys not proven current", retry_after_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/config.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/config.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import ClassVar
 
 __all__ = [
     "CallerLimits",
@@ -102,10 +103,23 @@
 
 @dataclass(frozen=True)
 class ForwardingConfig:
-    """Represent one version of the complete forwarding configuration."""
+    """Represent one version of the complete forwarding configuration.
+
+    `workspaces` is None where requests need no key. An empty one means that no key is
+    valid, so that only requests on public routes are admitted.
+    """
+
+    # Routers of an earlier build send both cases as an empty list. They ignore this
+    # name, as this build does theirs, so that each reads the store instead.
+    WIRE_NAME: ClassVar[str] = "KeyedForwardingConfig"
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceInfo, ...]
     limits: CallerLimits = field(default_factory=CallerLimits)
-    workspaces: tuple[WorkspaceKeys, ...] = ()
+    workspaces: tuple[WorkspaceKeys, ...] | None = None
+
+    @property
+    def needs_keys(self) -> bool:
+        """Return whether requests on routes that aren't public need a key."""
+        return self.workspaces is not None
--- a/packages/kernel/bronzeline_kernel/forwarding/route_table.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/route_table.py
@@ -31,14 +31,11 @@
         self._levels = find_levels(config)
         self._services = {item.name: item for item in config.services}
         self._workspaces = {
-            key: workspace for workspace in config.workspaces for key in workspace.keys
+            key: workspace
+            for workspace in config.workspaces or ()
+            for key in workspace.keys
         }
 
-    @property
-    def needs_keys(self) -> bool:
-        """Return whether requests on non-public routes need a key."""
-        return bool(self.config.workspaces)
-
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, None if none does."""
         by_prefix = self._routes.get(host_name(host))
--- a/packages/kernel/bronzeline_kernel/forwarding/urgency.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/urgency.py
@@ -94,7 +94,7 @@
 
 
 def _ranks(
-    routes: Iterable[Route], workspaces: tuple[WorkspaceKeys, ...]
+    routes: Iterable[Route], workspaces: tuple[WorkspaceKeys, ...] | None
 ) -> tuple[Rank, ...]:
     ranks = set()
     for route in routes:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
@@ -57,6 +57,24 @@
         result = admit(view(), request(target=path, key=key), now_ms)
         self.assertEqual(getattr(result, "refusal", None), refusal)
 
+    @params(
+        (None, "key-1", FRESH_MS, None),
+        (None, None, FRESH_MS, None),
+        (None, None, STALE_MS, None),
+        ((), "key-1", FRESH_MS, Refusal.UNKNOWN_KEY),
+        ((), None, FRESH_MS, Refusal.UNKNOWN_KEY),
+        ((), "key-1", STALE_MS, Refusal.NOT_READY),
+        ((), None, STALE_MS, Refusal.NOT_READY),
+    )
+    def test_admission_where_no_key_is_needed_or_none_is_valid(
+        self, keys, key, now_ms, refusal
+    ):
+        """No workspaces at all was taken for a configuration that needs no keys."""
+        router_view = view()
+        router_view.apply_config(config(2, ROUTES, keys), 0.0)
+        result = admit(router_view, request(key=key), now_ms)
+        self.assertEqual(getattr(result, "refusal", None), refusal)
+
     def test_refuses_as_not_ready_without_configuration(self):
         result = admit(view(is_loaded=False), request(target="/none/"), FRESH_MS)
         self.assertEqual(result.refusal, Refusal.NOT_READY)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/samples.py
@@ -93,11 +93,13 @@
 
 
 def config(version=1, routes=None, keys=("key-1",)):
+    """Return a configuration; it has no workspaces without keys, None needs none."""
+    workspaces = (WorkspaceKeys("shop", tuple(keys)),) if keys else ()
     return ForwardingConfig(
         version=version,
         routes=(route(),) if routes is None else tuple(routes),
         services=(),
-        workspaces=(WorkspaceKeys("shop", tuple(keys)),) if keys else (),
+        workspaces=None if keys is None else workspaces,
     )
 
 
--- a/packages/operator/bronzeline/commands/check_config.py
+++ b/packages/operator/bronzeline/commands/check_config.py
@@ -56,6 +56,8 @@
 ) -> None:
     """Check the configuration in FILE before it is sent; - is standard input.
 
+    Among other things, it says when no key is valid, or none is needed any more.
+
     Exit status: 0 without errors, 1 with errors, 2 if a file or the store can't be
     read or a file isn't JSON.
     """
