Admit no request by an empty key

What callers saw: where a workspace has an empty key among its keys, requests without a key ran, for this workspace. Change: the table leaves empty keys out. check-config still calls them an error, with a message that says what is.

--- a/packages/kernel/bronzeline_kernel/config_check/entry_rules.py
+++ b/packages/kernel/bronzeline_kernel/config_check/entry_rules.py
@@ -83,15 +83,15 @@
 
 
 def find_empty_keys(draft: ConfigDraft) -> Iterator[Issue]:
-    """Yield empty keys: a request without a key would belong to their workspace."""
+    """Yield empty keys, which routers ignore."""
     for position, workspace in draft.workspaces.items():
         for number, key in enumerate(workspace.keys):
             if not key:
                 yield Issue(
                     "empty_key",
                     ("workspaces", position, "keys", number),
-                    f"workspace {workspace.name!r} has an empty key, with which "
-                    "requests without a key are admitted",
+                    f"workspace {workspace.name!r} has an empty key, which no request "
+                    "can have",
                 )
 
 
--- a/packages/kernel/bronzeline_kernel/forwarding/route_table.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/route_table.py
@@ -30,10 +30,12 @@
             by_prefix[route.path_prefix] = route
         self._levels = find_levels(config)
         self._services = {item.name: item for item in config.services}
+        # Requests without a key would belong to the workspace of an empty one.
         self._workspaces = {
             key: workspace
             for workspace in config.workspaces or ()
             for key in workspace.keys
+            if key
         }
 
     def find(self, host: str, path: str) -> Route | None:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
@@ -65,11 +65,15 @@
         ((), None, FRESH_MS, Refusal.UNKNOWN_KEY),
         ((), "key-1", STALE_MS, Refusal.NOT_READY),
         ((), None, STALE_MS, Refusal.NOT_READY),
+        (("",), None, FRESH_MS, Refusal.UNKNOWN_KEY),
+        (("",), "", FRESH_MS, Refusal.UNKNOWN_KEY),
+        (("", "key-1"), None, FRESH_MS, Refusal.UNKNOWN_KEY),
+        (("", "key-1"), "key-1", FRESH_MS, None),
     )
     def test_admission_where_no_key_is_needed_or_none_is_valid(
         self, keys, key, now_ms, refusal
     ):
-        """No workspaces at all was taken for a configuration that needs no keys."""
+        """No workspaces, or an empty key, admitted requests without a key."""
         router_view = view()
         router_view.apply_config(config(2, ROUTES, keys), 0.0)
         result = admit(router_view, request(key=key), now_ms)
