Don't call an unreadable list of workspaces empty

Cause: check-config took a section of which nothing could be read for an empty one, and warned that no key is valid beside the error; routers refuse such a version whole. Change: the draft says whether all workspaces could be read, as it does of routes. Result: three cases of config_check_tests, run before the change, had `no_workspaces` beside `unreadable`; they have `unreadable` alone now.

--- a/packages/kernel/bronzeline_kernel/config_check/draft.py
+++ b/packages/kernel/bronzeline_kernel/config_check/draft.py
@@ -35,4 +35,5 @@
     needs_keys: bool = True
     limits: CallerLimits | None = None
     has_all_routes: bool = True
+    has_all_workspaces: bool = True
     findings: tuple[Finding, ...] = ()
--- a/packages/kernel/bronzeline_kernel/config_check/effect_rules.py
+++ b/packages/kernel/bronzeline_kernel/config_check/effect_rules.py
@@ -86,8 +86,9 @@
 
 
 def find_missing_workspaces(draft: ConfigDraft) -> Iterator[Issue]:
-    """Yield an empty section of workspaces, with which no key is valid."""
-    if not draft.needs_keys or draft.names["workspace"] or draft.workspaces:
+    """Yield an empty section of workspaces, unless it can't be read."""
+    is_empty = draft.has_all_workspaces and not draft.workspaces
+    if not draft.needs_keys or not is_empty:
         return
     if not all(route.is_public for route in draft.routes.values()):
         message = (
