Show operators what the version in force says of keys

Cause: 401 had one reason, "unknown key", for a request without a key, for a key that the version doesn't hold and for a version that holds none; no metric said whether keys are needed. Change: `request_refused` names the three reasons; gauges `bronzeline_needs_keys` and `bronzeline_keys`.

--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -253,6 +253,16 @@
         for name, text, read in (
             ("running", "Requests that are running.", lambda: self.service.n_running),
             ("configuration_version", "Version in force.", lambda: view.version),
+            (
+                "needs_keys",
+                "1 if requests on routes that aren't public need a key.",
+                lambda: float(bool(view.table and view.table.config.needs_keys)),
+            ),
+            (
+                "keys",
+                "Valid keys of the version in force.",
+                lambda: view.table.n_keys if view.table else 0,
+            ),
             (
                 "lease_age_ms",
                 "Age of the proof that keys are current.",
--- a/packages/kernel/bronzeline_kernel/forwarding/admission.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/admission.py
@@ -9,6 +9,7 @@
 from bronzeline_kernel.forwarding.config import Route, WorkspaceKeys
 from bronzeline_kernel.forwarding.messages import CallerRequest
 from bronzeline_kernel.forwarding.return_times import return_after_outage_ms
+from bronzeline_kernel.forwarding.route_table import RouteTable
 from bronzeline_kernel.forwarding.stop_plan import StopPlan
 from bronzeline_kernel.forwarding.view import ForwardingView
 
@@ -82,7 +83,7 @@
         return _not_ready("keys not proven current", retry_after_ms)
     workspace = table.find_workspace(request.key or "")
     if workspace is None:
-        return Refused(Refusal.UNKNOWN_KEY, "unknown key")
+        return Refused(Refusal.UNKNOWN_KEY, _reason_for_key(table, request.key))
     return Admitted(route, workspace)
 
 
@@ -91,5 +92,11 @@
     return min(request.budget_ms or route.timeout_ms, route.timeout_ms)
 
 
+def _reason_for_key(table: RouteTable, key: str | None) -> str:
+    if not table.n_keys:
+        return "the configuration has no keys"
+    return "unknown key" if key else "no key"
+
+
 def _not_ready(reason: str, retry_after_ms: float) -> Refused:
     return Refused(Refusal.NOT_READY, reason, retry_after_ms)
--- a/packages/kernel/bronzeline_kernel/forwarding/route_table.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/route_table.py
@@ -38,6 +38,11 @@
             if key
         }
 
+    @property
+    def n_keys(self) -> int:
+        """Return the number of valid keys."""
+        return len(self._workspaces)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, None if none does."""
         by_prefix = self._routes.get(host_name(host))
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/admission_tests.py
@@ -79,6 +79,19 @@
         result = admit(router_view, request(key=key), now_ms)
         self.assertEqual(getattr(result, "refusal", None), refusal)
 
+    @params(
+        (("key-1",), "key-9", "unknown key"),
+        (("key-1",), None, "no key"),
+        (("key-1",), "", "no key"),
+        ((), "key-9", "the configuration has no keys"),
+        (("",), "key-9", "the configuration has no keys"),
+    )
+    def test_a_refusal_says_what_is_wrong_with_the_key(self, keys, key, reason):
+        router_view = view()
+        router_view.apply_config(config(2, ROUTES, keys), 0.0)
+        result = admit(router_view, request(key=key), FRESH_MS)
+        self.assertEqual(result.reason, reason)
+
     def test_refuses_as_not_ready_without_configuration(self):
         result = admit(view(is_loaded=False), request(target="/none/"), FRESH_MS)
         self.assertEqual(result.refusal, Refusal.NOT_READY)
