--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -1,8 +1,12 @@
-"""Run the tests with nose2; only failures listed in KNOWN-RED.txt are tolerated."""
+"""Run the tests with nose2; only failures listed in KNOWN-RED.txt are tolerated.
+
+Without names of modules all of them are run, each in a process of its own.
+"""
 
 from __future__ import annotations
 
 import argparse
+import json
 import re
 import sys
 from collections import Counter
@@ -12,6 +16,7 @@
 
 from hypothesis import settings
 from nose2.main import PluggableTestProgram
+from test_processes import find_modules, run_modules
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -22,6 +27,7 @@
 FAILED_OUTCOMES = frozenset({"failed", "error"})
 SUBTEST_OUTCOME = "subtest"
 BENCH_PREFIX = "bench "
+N_PROCESSES = 6
 
 
 @dataclass(frozen=True)
@@ -53,6 +59,20 @@
         if event.outcome == "skipped":
             self.skipped.add(name)
 
+    def as_report(self) -> dict[str, Any]:
+        """Return the outcomes as data that fits into JSON."""
+        return {
+            "n_run": self.n_run,
+            "failed": sorted(self.failed),
+            "skipped": sorted(self.skipped),
+        }
+
+    def add(self, report: dict[str, Any]) -> None:
+        """Add the outcomes of another process."""
+        self.n_run.update(report["n_run"])
+        self.failed.update(report["failed"])
+        self.skipped.update(report["skipped"])
+
 
 def is_failed_subtest(event: Any) -> bool:
     """Return whether the outcome is that of a subtest that failed."""
@@ -100,21 +120,33 @@
             print(f"known red did not run: {name}: {failure.note}")
 
 
-def main() -> None:
-    """Run the tests, print the known failures, and end with the line of counts."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--failed-before", type=int, default=0)
-    options, rest = parser.parse_known_args()
-    outcomes = OutcomeRecorder()
+def run_here(arguments: list[str], outcomes: OutcomeRecorder) -> None:
+    """Run tests in this process; `arguments` are those of nose2."""
     # Every run uses the same examples, and none stored by an earlier run.
     settings.register_profile("ci", derandomize=True, deadline=None, database=None)
     settings.load_profile("ci")
     PluggableTestProgram(
         module=None,
-        argv=["nose2", "-s", str(ROOT), *rest],
+        argv=["nose2", "-s", str(ROOT), *arguments],
         exit=False,
         extraHooks=[("startTest", outcomes), ("testOutcome", outcomes)],
     )
+
+
+def run_in_processes(n_processes: int, outcomes: OutcomeRecorder) -> None:
+    """Run all modules, each in a process that runs this script."""
+    script = Path(__file__)
+    for module, report in run_modules(script, find_modules(ROOT), n_processes):
+        if report is None:
+            # It must not pass for a module without tests.
+            outcomes.n_run[module] += 1
+            outcomes.failed.add(module)
+        else:
+            outcomes.add(report)
+
+
+def report_outcomes(outcomes: OutcomeRecorder, n_failed_before: int) -> int:
+    """Print failures and, last, the counts; return the number of failures."""
     known = read_known_red()
     report_known_red(known, outcomes)
     for name in sorted(outcomes.skipped):
@@ -124,9 +156,28 @@
         print(f"failed: {name}")
     n_run = sum(outcomes.n_run.values())
     n_passed = max(0, n_run - len(outcomes.failed | outcomes.skipped))
-    n_failed = len(unexpected) + options.failed_before
+    n_failed = len(unexpected) + n_failed_before
     print(f"{n_passed} passed, {n_failed} failed")
-    sys.exit(1 if n_failed or not n_run else 0)
+    return n_failed
+
+
+def main() -> None:
+    """Run the tests, print the known failures, and end with the line of counts."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--failed-before", type=int, default=0)
+    parser.add_argument("--processes", type=int, default=N_PROCESSES)
+    parser.add_argument("--report", type=Path, help="write the outcomes here as JSON")
+    options, rest = parser.parse_known_args()
+    outcomes = OutcomeRecorder()
+    if rest:
+        run_here(rest, outcomes)
+    else:
+        run_in_processes(options.processes, outcomes)
+    if options.report is not None:
+        options.report.write_text(json.dumps(outcomes.as_report()))
+        return
+    n_failed = report_outcomes(outcomes, options.failed_before)
+    sys.exit(1 if n_failed or not outcomes.n_run else 0)
 
 
 if __name__ == "__main__":
