Exit from a planned stop only once callers have read their answers

Cause: a router counted as idle when no request ran, and a request ends when its answer is handed to the connection, sent or not. It exited 2.6 s after the SIGTERM. Change: it is idle once no caller's connection has bytes to be sent, too; the end of the grace period bounds the wait as before. `stopped` has n_unread. Why it works: each byte of an answer is in that count until the kernel has taken it.

--- a/packages/daemon/bronzeline_daemon/forwarding/connection_limiter.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/connection_limiter.py
@@ -172,6 +172,10 @@
         """Return how many connections a listener has."""
         return len(self.entries.get(listener, ()))
 
+    def n_unread(self, listener: str) -> int:
+        """Return at how many connections of a listener bytes wait to be sent."""
+        return sum(x.n_unsent_bytes > 0 for x in self.entries.get(listener, ()))
+
     def admit(self, listener: str) -> bool:
         """Reserve room for a new connection, if need be that of another one."""
         entries = self.entries.setdefault(listener, {})
--- a/packages/daemon/bronzeline_daemon/forwarding/router.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/router.py
@@ -14,6 +14,7 @@
 from bronzeline_daemon.forwarding.block_store import BlockStore
 from bronzeline_daemon.forwarding.bounded_server import PlainServer
 from bronzeline_daemon.forwarding.capacity_exchange import CapacityExchange
+from bronzeline_daemon.forwarding.connection_limiter import CALLERS
 from bronzeline_daemon.forwarding.directory_watch import DirectoryWatch
 from bronzeline_daemon.forwarding.frontend import CallerFrontend
 from bronzeline_daemon.forwarding.limiter_setup import add_limiter_gauges, make_limiter
@@ -238,16 +239,24 @@
 
     async def _finish_stop(self, plan: StopPlan) -> None:
         while self.clock.now_ms() < plan.ends_at_ms:
-            is_idle = not self.service.n_running
-            if is_idle and self.clock.now_ms() >= plan.idle_end_at_ms:
+            if self._is_idle() and self.clock.now_ms() >= plan.idle_end_at_ms:
                 break
             await asyncio.sleep(STOP_POLL_S)
         # A request that comes until the process has exited would be cut.
         self.service.stop_plan = replace(plan, grace_ms=0.0)
-        log_event("stopped", n_cut=self.service.n_running)
+        log_event(
+            "stopped",
+            n_cut=self.service.n_running,
+            n_unread=self.connection_limiter.n_unread(CALLERS),
+        )
         self.close()
         self.stopped.set()
 
+    def _is_idle(self) -> bool:
+        """Return whether all requests have ended and their responses are sent."""
+        n_unread = self.connection_limiter.n_unread(CALLERS)
+        return not self.service.n_running and not n_unread
+
     def _add_gauges(self) -> None:
         metrics, view = self.service.metrics, self.view
         for name, text, read in (
