Hold a request to the limits in force when it comes

Cause: a connection read the limits when it began to wait for its next request. Change: the limits for size are read when the head has arrived, the head's time-out when its first byte arrives. Why it works: no limit is kept over the wait between two requests.

--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -96,9 +96,13 @@
         assert isinstance(request_conn, HTTP1Connection)
         timer = self._head_timers.get(server_conn)
         if timer is None:
-            timer = HeadTimer(request_conn.stream, self.connection_limiter.logs.info)
+            timer = HeadTimer(
+                request_conn.stream,
+                lambda: self.limits().header_timeout_ms,
+                self.connection_limiter.logs.info,
+            )
             self._head_timers[server_conn] = timer
-        timer.arm(self.limits().header_timeout_ms)
+        timer.arm()
         return RequestReader(self, request_conn, timer)
 
     def _remove_timer(self, server_conn: object) -> None:
@@ -119,7 +123,8 @@
         self._frontend = frontend
         self._head_timer = head_timer
         self._connection = connection
-        self._limits = frontend.limits()
+        # Those in force when the head arrived.
+        self._limits = CallerLimits()
         assert isinstance(connection.stream, BoundedStream)
         self._entry = connection.stream.entry
         self._entry.enter(ConnectionState.HEAD)
@@ -140,6 +145,8 @@
         """Check the head against the limits; refuse requests that exceed them."""
         assert isinstance(start_line, RequestStartLine)
         self._head_timer.stop()
+        # A kept connection may have waited since before they changed.
+        self._limits = self._frontend.limits()
         self._suppress_if_closed()
         if self._response.is_over:
             return
--- a/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
@@ -25,9 +25,16 @@
     connections are allowed for longer.
     """
 
-    def __init__(self, stream: IOStream, log: Callable[..., None] = log_event) -> None:
+    def __init__(
+        self,
+        stream: IOStream,
+        read_limit_ms: Callable[[], float],
+        log: Callable[..., None] = log_event,
+    ) -> None:
         self._log = log
         self._stream = stream
+        # Called when a head begins: a connection may wait for it while limits change.
+        self._read_limit_ms = read_limit_ms
         # Set once a request was refused; bytes that are read later are not forwarded.
         self.has_refused = False
         self._limit_ms = 0.0
@@ -37,10 +44,9 @@
         # Subclasses of BaseIOStream override this method to read bytes.
         stream.read_from_fd = self._timed_read  # type: ignore[assignment,method-assign]
 
-    def arm(self, limit_ms: float) -> None:
-        """Limit the time in ms from the first byte of the next head to its end."""
+    def arm(self) -> None:
+        """Limit the time from the first byte of the next head to its end."""
         self.stop()
-        self._limit_ms = limit_ms
         self._is_armed = True
 
     def stop(self) -> None:
@@ -54,8 +60,8 @@
         n_bytes = self._read(buffer)
         if n_bytes and self._is_armed and self._timer is None:
             loop = asyncio.get_running_loop()
-            limit_s = self._limit_ms / 1000.0
-            self._timer = loop.call_later(limit_s, self._refuse)
+            self._limit_ms = self._read_limit_ms()
+            self._timer = loop.call_later(self._limit_ms / 1000.0, self._refuse)
         return n_bytes
 
     def _refuse(self) -> None:
