Close connections that rest by the idle time-out in force

What callers saw: after a version that raised idle-timeout-ms, connections that rested were closed by the former time-out, while callers relied on the new one; after one that lowered it, they were kept for longer. Result: two cases of changed_limits_tests fail before, none after; the third and a new connection that sends nothing hold before and after.

--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -14,6 +14,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import IOStream
 
 from bronzeline_daemon.forwarding.bounded_server import BoundedServer
 from bronzeline_daemon.forwarding.caller_response import CallerResponse
@@ -23,6 +24,7 @@
     ConnectionLimiter,
 )
 from bronzeline_daemon.forwarding.head_timer import HeadTimer
+from bronzeline_daemon.forwarding.idle_timer import IdleTimer
 from bronzeline_daemon.logs import log_event
 from bronzeline_kernel.exceptions import RequestError
 from bronzeline_kernel.forwarding import (
@@ -44,6 +46,8 @@
 # lower, and requests above it are refused with a response.
 MAX_HEAD_BYTES = 128 * 1024
 HEADER_OVERHEAD_BYTES = 4
+# tornado's own timeout, which the idle timers precede.
+MAX_IDLE_S = 24 * 3_600.0
 # What the objects of a field take; a head of 16 KiB may have 2,000 of them.
 FIELD_BYTES = 700
 RETRY_AFTER_MS = 1_000.0
@@ -74,16 +78,22 @@
         self.limits = limits
         self.on_request = on_request
         self.server = CallerServer(self, max_header_size=MAX_HEAD_BYTES)
-        self.server.on_closed = self._remove_timer
+        self.server.on_closed = self._remove_timers
         self.server.join(connection_limiter, CALLERS)
         self.connection_limiter = connection_limiter
         self._head_timers: dict[object, HeadTimer] = {}
-        self.apply_limits()
+        self._idle_timers: dict[object, IdleTimer] = {}
+        self._idle_timeout_ms = self._read_idle_timeout_ms()
+        self.server.conn_params.header_timeout = MAX_IDLE_S
 
     def apply_limits(self) -> None:
         """Apply the idle timeout of the configuration in force."""
-        idle_s = self.limits().idle_timeout_ms / 1000.0
-        self.server.conn_params.header_timeout = idle_s
+        idle_timeout_ms = self._read_idle_timeout_ms()
+        if idle_timeout_ms == self._idle_timeout_ms:
+            return
+        self._idle_timeout_ms = idle_timeout_ms
+        for timer in self._idle_timers.values():
+            timer.apply_limit()
 
     def close_after_responses(self) -> None:
         """Close each connection after its current response."""
@@ -94,22 +104,33 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        timer = self._head_timers.get(server_conn)
-        if timer is None:
-            timer = HeadTimer(
-                request_conn.stream,
-                lambda: self.limits().header_timeout_ms,
-                self.connection_limiter.logs.info,
-            )
-            self._head_timers[server_conn] = timer
-        timer.arm()
-        return RequestReader(self, request_conn, timer)
+        if server_conn not in self._head_timers:
+            self._add_timers(server_conn, request_conn.stream)
+        head_timer = self._head_timers[server_conn]
+        idle_timer = self._idle_timers[server_conn]
+        head_timer.arm()
+        idle_timer.arm()
+        return RequestReader(self, request_conn, head_timer, idle_timer)
+
+    def _add_timers(self, server_conn: object, stream: IOStream) -> None:
+        head_timer = HeadTimer(
+            stream,
+            lambda: self.limits().header_timeout_ms,
+            self.connection_limiter.logs.info,
+        )
+        self._head_timers[server_conn] = head_timer
+        self._idle_timers[server_conn] = IdleTimer(
+            stream, self._read_idle_timeout_ms, lambda: head_timer.has_begun
+        )
 
-    def _remove_timer(self, server_conn: object) -> None:
-        timer = self._head_timers.pop(server_conn, None)
-        if timer is not None:
+    def _remove_timers(self, server_conn: object) -> None:
+        timers = (self._head_timers, self._idle_timers)
+        for timer in [x.pop(server_conn) for x in timers if server_conn in x]:
             timer.stop()
 
+    def _read_idle_timeout_ms(self) -> float:
+        return self.limits().idle_timeout_ms
+
 
 class RequestReader(HTTPMessageDelegate):
     """Read one request and pass it on once it is complete."""
@@ -119,9 +140,11 @@
         frontend: CallerFrontend,
         connection: HTTP1Connection,
         head_timer: HeadTimer,
+        idle_timer: IdleTimer,
     ) -> None:
         self._frontend = frontend
         self._head_timer = head_timer
+        self._idle_timer = idle_timer
         self._connection = connection
         # Those in force when the head arrived.
         self._limits = CallerLimits()
@@ -145,6 +168,7 @@
         """Check the head against the limits; refuse requests that exceed them."""
         assert isinstance(start_line, RequestStartLine)
         self._head_timer.stop()
+        self._idle_timer.stop()
         # A kept connection may have waited since before they changed.
         self._limits = self._frontend.limits()
         self._suppress_if_closed()
--- a/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/head_timer.py
@@ -49,6 +49,11 @@
         self.stop()
         self._is_armed = True
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a head has begun and is not complete."""
+        return self._timer is not None
+
     def stop(self) -> None:
         """Stop the timer: the head is complete or the connection closed."""
         self._is_armed = False
