--- a/packages/daemon/bronzeline_daemon/message_codec.py
+++ b/packages/daemon/bronzeline_daemon/message_codec.py
@@ -20,8 +20,9 @@
 class MessageCodec:
     """Encode a message as its type's name and its field values in order.
 
-    A type whose name has changed keeps the former one as `WIRE_NAME`, as routers of an
-    earlier build ignore names that they don't know.
+    Routers of an earlier build ignore names that they don't know. So a type whose name
+    has changed keeps the former one as `WIRE_NAME`, and one whose values mean something
+    else now has a new one there.
     """
 
     def __init__(self) -> None:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
@@ -64,6 +64,16 @@
         self.assertFalse(self.is_blocked("long"))
         self.assertEqual(self.announced, [])
 
+    def test_a_request_that_crashes_two_engines_of_a_zone_at_once_is_quarantined(self):
+        """Their crashes count as the loss of the zone, so it crashes more."""
+        for number in range(3):
+            zone = f"zone-{number}"
+            self.record_deaths(
+                lost(f"a{number}", zone, "killer", f"by-{number}", ran_ms=130.0),
+                lost(f"b{number}", zone, "killer", f"beside-{number}", ran_ms=130.0),
+            )
+        self.assertTrue(self.is_blocked("killer"))
+
     @params((3, False), (40, True))
     def test_single_deaths_of_a_large_zone_are_no_zone_loss(self, n_engines, expected):
         self.quarantine.n_engines = lambda zone: n_engines
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
@@ -18,6 +18,7 @@
     ENGINES,
     binding,
     fleet,
+    route,
 )
 from bronzeline_kernel.tests.forwarding.stream_driver import Driver
 
@@ -34,6 +35,21 @@
         self.assertLessEqual(timed_actions[-1][0] - began_ms, 530.0)
         self.assertIsNotNone(timed_actions[-1][1].copy_from)
 
+    @params(1, 2, 3)
+    def test_silent_upstreams_that_respond_to_probes_use_up_attempts(self, n_attempts):
+        """A stream left them for any number of others, beside the route's limit."""
+        driver = Driver(per_zone=3, route=route(max_attempts=n_attempts))
+        driver.start()
+        for _ in range(6):
+            driver.events(driver.run.attempt.number, 2)
+            for _ in range(60):
+                for _, action in driver.wait(10.0):
+                    if isinstance(action, Probe):
+                        upstream = action.upstream.incarnation
+                        driver.run.probed(upstream, True, driver.now_ms)
+        sent = {x.upstream.upstream_id for x in driver.actions if isinstance(x, Send)}
+        self.assertLessEqual(len(sent), n_attempts)
+
     def test_dead_upstream_is_abandoned_immediately(self):
         driver = Driver()
         first = driver.start()
