Leave room for ordinary requests beside heads of very many fields

What callers saw: an ordinary request got 503 (memory_share_body) for 12 s beside clients that sent a head of 16 KB with 2,200 fields and half of a body. Cause: such a head takes 1.6 MB with its objects and counted as a head, which may use the whole account, while small bodies may use 0.85 of it: 13 heads hold that much. Change: a head that takes more than 64 KiB counts as large_head, with the ceiling and the part of the workspace that large bodies have. Why it works: nothing large may use the last 0.3 of the account, so what is small finds room until the idle time-out ends the unfinished requests.

--- a/packages/daemon/bronzeline_daemon/forwarding/frontend.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/frontend.py
@@ -32,10 +32,10 @@
     CallerLimits,
     CallerRequest,
     ConnectionState,
-    HeldKind,
     Reservation,
     WireFormat,
     body_kind,
+    head_kind,
 )
 
 __all__ = ["CallerFrontend"]
@@ -187,9 +187,8 @@
         connection_limiter = self._frontend.connection_limiter
         key = self._frontend.wire.caller_key(self._headers)
         self._reservation.held_share = connection_limiter.open_share(self._entry, key)
-        if not self._reservation.grow(
-            HeldKind.HEAD, n_head_bytes + FIELD_BYTES * len(self._headers)
-        ):
+        n_held_bytes = n_head_bytes + FIELD_BYTES * len(self._headers)
+        if not self._reservation.grow(head_kind(n_held_bytes), n_held_bytes):
             self._refuse("memory_full_head")
             return
         self._entry.enter(ConnectionState.BODY)
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -54,6 +54,7 @@
     MemoryLimits,
     Reservation,
     body_kind,
+    head_kind,
 )
 from bronzeline_kernel.forwarding.memory_shares import HeldShare, MemoryShares
 from bronzeline_kernel.forwarding.messages import (
@@ -417,6 +418,7 @@
     "body_kind",
     "choose_to_close",
     "find_parent",
+    "head_kind",
     "identify",
     "part_key",
     "request_key",
--- a/packages/kernel/bronzeline_kernel/forwarding/memory_account.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/memory_account.py
@@ -19,6 +19,7 @@
     "MemoryLimits",
     "Reservation",
     "body_kind",
+    "head_kind",
 ]
 
 BYTES_PER_MIB = 1024 * 1024
@@ -28,11 +29,12 @@
 # Two bodies of 4 MiB fit, each held twice while it is joined: an attempt whose caller
 # was answered may still be writing when that caller's next request arrives.
 MIN_TOTAL_BYTES = 24 * BYTES_PER_MIB
-# Large bodies, all bodies, and all that precedes a response may take these shares.
-LARGE_BODY_SHARE = 0.7
+# Large bodies and heads, also with small bodies, and with all that precedes a response
+# may take these shares.
+LARGE_SHARE = 0.7
 SMALL_BODY_SHARE = 0.85
-# Bodies of ordinary requests are smaller.
-MAX_SMALL_BODY_BYTES = 64 * 1024
+# Bodies of ordinary requests are smaller, and so is what their heads take.
+MAX_SMALL_BYTES = 64 * 1024
 # A body is held once more while it is joined; a small one also while it is sent.
 N_BODY_COPIES = 2
 
@@ -41,6 +43,7 @@
     """Name what is held, from what is refused first to what is never refused."""
 
     LARGE_BODY = "large_body"
+    LARGE_HEAD = "large_head"
     SMALL_BODY = "small_body"
     HEAD = "head"
     CONNECTION = "connection"
@@ -49,15 +52,22 @@
     CONTROL = "control"
 
 
-BODY_KINDS = frozenset({HeldKind.LARGE_BODY, HeldKind.SMALL_BODY})
+LARGE_KINDS = frozenset({HeldKind.LARGE_BODY, HeldKind.LARGE_HEAD})
+# What has to leave room for control responses.
+YIELDING_KINDS = LARGE_KINDS | {HeldKind.SMALL_BODY}
 
 
 def body_kind(n_bytes: int) -> HeldKind:
     """Return as what a body of which so many bytes are expected or received counts."""
-    is_small = n_bytes <= MAX_SMALL_BODY_BYTES
+    is_small = n_bytes <= MAX_SMALL_BYTES
     return HeldKind.SMALL_BODY if is_small else HeldKind.LARGE_BODY
 
 
+def head_kind(n_bytes: int) -> HeldKind:
+    """Return as what a head counts that takes so many bytes with its objects."""
+    return HeldKind.HEAD if n_bytes <= MAX_SMALL_BYTES else HeldKind.LARGE_HEAD
+
+
 @dataclass(frozen=True)
 class MemoryLimits:
     """Set how many bytes may be held in all."""
@@ -73,8 +83,8 @@
     def ceiling(self, kind: HeldKind) -> int:
         """Return up to which total a reservation of this kind is granted."""
         match kind:
-            case HeldKind.LARGE_BODY:
-                return int(LARGE_BODY_SHARE * self.total_bytes)
+            case HeldKind.LARGE_BODY | HeldKind.LARGE_HEAD:
+                return int(LARGE_SHARE * self.total_bytes)
             case HeldKind.SMALL_BODY:
                 return int(SMALL_BODY_SHARE * self.total_bytes)
             case _:
@@ -101,7 +111,7 @@
 
     def reserve(self, kind: HeldKind, n_bytes: int) -> bool:
         """Reserve bytes; return whether they are within the limit of their kind."""
-        n_excluded = 0 if kind in BODY_KINDS else self.by_kind[HeldKind.CONTROL]
+        n_excluded = 0 if kind in YIELDING_KINDS else self.by_kind[HeldKind.CONTROL]
         if self.n_bytes - n_excluded + n_bytes > self.limits.ceiling(kind):
             self.n_refused[kind] += 1
             return False
@@ -202,5 +212,4 @@
 
     def _count(self, kind: HeldKind, n_bytes: int) -> None:
         if self.held_share is not None:
-            is_large = kind is HeldKind.LARGE_BODY
-            self.held_share.count(n_bytes, is_large=is_large)
+            self.held_share.count(n_bytes, is_large=kind in LARGE_KINDS)
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/memory_account_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/memory_account_tests.py
@@ -9,6 +9,7 @@
     MemoryAccount,
     MemoryLimits,
     Reservation,
+    head_kind,
 )
 
 LIMITS = MemoryLimits(total_bytes=1_000_000)
@@ -19,6 +20,8 @@
     @params(
         (HeldKind.LARGE_BODY, 699_000, True),
         (HeldKind.LARGE_BODY, 699_500, False),
+        (HeldKind.LARGE_HEAD, 699_000, True),
+        (HeldKind.LARGE_HEAD, 699_500, False),
         (HeldKind.SMALL_BODY, 849_000, True),
         (HeldKind.SMALL_BODY, 849_500, False),
         (HeldKind.HEAD, 999_000, True),
@@ -34,6 +37,7 @@
 
     @params(
         (HeldKind.LARGE_BODY, False),
+        (HeldKind.LARGE_HEAD, False),
         (HeldKind.SMALL_BODY, False),
         (HeldKind.HEAD, True),
         (HeldKind.CONNECTION, True),
@@ -62,6 +66,24 @@
         self.assertFalse(Reservation(account).grow_body(LARGE, LARGE))
         self.assertTrue(Reservation(account).grow_body(SMALL, 2 * SMALL))
 
+    @params("guild", "other")
+    def test_stalled_large_heads_leave_room_for_small_requests(self, workspace):
+        # Guards against ordinary callers that are shut out by a few heads of
+        # thousands of fields, also those of the same workspace.
+        account = MemoryAccount(LIMITS)
+        n_stalled = 0
+        while self._begin(account, "guild", n_stalled, LARGE).grow_body(1, 2):
+            n_stalled += 1
+        request = self._begin(account, workspace, n_stalled + 1, SMALL)
+        self.assertTrue(request.grow_body(SMALL, 2 * SMALL))
+
+    def _begin(self, account, workspace, connection, n_head_bytes):
+        reservation = Reservation(account)
+        reservation.held_share = account.shares.open(workspace, connection, 0.0)
+        if not reservation.grow(head_kind(n_head_bytes), n_head_bytes):
+            reservation.release_all()
+        return reservation
+
     def test_a_body_that_turns_out_large_counts_as_large(self):
         account = MemoryAccount(LIMITS)
         reservation = Reservation(account)
