Count upstreams that still run against a stream's attempts

Cause: silence and a broken connection were taken for the end of the upstream, which uses up no attempt, although a probe tells whether it runs. Change: silence uses up an attempt if the upstream has responded to anybody since. A broken connection is in doubt until its probe ends; the stream waits for it only where that decides. With attempts used up, a stream may go on at upstreams that it was sent to before, as attempts limit their number, and a second try at one uses up none. A silent upstream that doesn't respond can be left also with the last attempt. Why it works: an attempt is free only if its upstream is not shown to run. Tests: two tests of stream_run_tests asserted that broken connections use up none; they now say that the upstream crashed, and check the same counts. One of stream_mover_tests reads the count of used attempts.

--- a/packages/daemon/bronzeline_daemon/forwarding/death_check.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/death_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -26,6 +27,8 @@
     request_hash: str
     part_ids: tuple[str, ...]
     on_died: Callable[[], None]
+    # Called with whether the upstream responds; one that left does not.
+    on_probed: Callable[[bool], None]
 
     def start(self, attempt: Attempt) -> None:
         """Probe the upstream; nothing is reported if it accepts a connection.
@@ -34,6 +37,7 @@
         """
         upstream = attempt.send.upstream
         if not self.context.is_staying(upstream):
+            asyncio.get_running_loop().call_soon(self.on_probed, False)
             return
         broken_at_ms = self.context.clock.now_ms()
         ran_ms = broken_at_ms - attempt.started_at_ms
@@ -41,6 +45,7 @@
         def on_result(incarnation: tuple[str, int], is_alive: bool) -> None:
             if not is_alive:
                 self._report(upstream, ran_ms, broken_at_ms)
+            self.on_probed(is_alive)
 
         self.context.prober.probe(upstream, on_result)
 
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable, Iterable
 from typing import ClassVar
 
@@ -178,6 +179,9 @@
     def on_upstream_crashed(self) -> None:
         """Handle the crash of an upstream during an attempt."""
 
+    def on_broken_probed(self, number: int, is_responding: bool) -> None:
+        """Handle whether the upstream of a broken attempt responds to a probe."""
+
     def on_process_stall(self) -> None:
         """Handle a pause in which this process or the caller did not read."""
 
@@ -289,6 +293,7 @@
                 self._identity.work_hash,
                 self.unanswered_parts(),
                 self.on_upstream_crashed,
+                functools.partial(self.on_broken_probed, number),
             )
             check.start(attempt)
 
--- a/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/stream_relay.py
@@ -256,6 +256,11 @@
         """Count a crash among the upstreams that crashed in a row."""
         self._run.upstream_crashed()
 
+    def on_broken_probed(self, number: int, is_responding: bool) -> None:
+        """Pass the result of a broken attempt's probe to the machine."""
+        now_ms = self.now_ms()
+        self.perform(self._run.broken_probed(number, is_responding, now_ms))
+
     def on_process_stall(self) -> None:
         """Exclude the time in which this process did not run from silence."""
         self._run.process_paused(self.now_ms())
--- a/packages/kernel/bronzeline_kernel/forwarding/messages.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/messages.py
@@ -92,11 +92,6 @@
         """Return whether the upstream certainly did not execute the request."""
         return self in {Fault.UNREACHABLE, Fault.FULL, Fault.REPLACED}
 
-    @property
-    def is_cut_off(self) -> bool:
-        """Return whether the connection ended or fell silent before the response."""
-        return self in {Fault.BROKEN, Fault.SILENT}
-
 
 class Failure(Enum):
     """Classify the error that the caller gets for a request that failed."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_choice.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_choice.py
@@ -29,6 +29,8 @@
     # The upstreams at which an attempt failed, and those that were tried twice.
     tried: set[Incarnation]
     retried: set[Incarnation]
+    # The ids of the upstreams that may get the stream, None for all.
+    only: Collection[str] | None = None
 
     def may_resume_from(self, copy: CopySource, now_ms: float) -> bool:
         """Return whether the stream may go on from a copy that a peer told of."""
@@ -44,23 +46,31 @@
         copy = self.copies.to_try(attempt, now_ms)
         if copy is None or not self.binding.allows(copy.holder):
             return None
-        return copy
+        return copy if self._is_among(copy.holder) else None
 
-    def retry_same(self, attempt: Attempt, fault: Fault, now_ms: float) -> bool:
+    def may_return(self, attempt: Attempt, now_ms: float) -> bool:
+        """Return whether another upstream that the stream has left could take it."""
+        if self.only is None:
+            return False
+        permission = self.placement.permission
+        return any(
+            item.incarnation != attempt.upstream.incarnation
+            and self.may_run(item)
+            and permission.has_room_ahead(item, now_ms)
+            for item in self.placement.upstreams.usable(self.service, now_ms)
+        )
+
+    def may_retry_same(self, attempt: Attempt, fault: Fault, now_ms: float) -> bool:
         """Return whether to retry on the same upstream, which is done once.
 
         After a broken connection the upstream may be alive and still have the
         prompt cached; if it crashed, it refuses the connection immediately.
         """
-        incarnation = attempt.upstream.incarnation
-        if fault is not Fault.BROKEN or incarnation in self.retried:
+        if fault is not Fault.BROKEN or attempt.upstream.incarnation in self.retried:
             return False
         if not self.placement.permission.may_send(attempt.upstream, now_ms):
             return False
-        if not self.binding.allows(attempt.upstream):
-            return False
-        self.retried.add(incarnation)
-        return True
+        return self.binding.allows(attempt.upstream)
 
     def choose(
         self,
@@ -99,6 +109,8 @@
         allowed: MayRun | None = None
         if not self.binding.is_open:
             allowed = self.binding.allows
+        if self.only is not None:
+            allowed = self.may_run
         if upstream_ids is not None:
             allowed = self._among(upstream_ids)
 
@@ -143,11 +155,16 @@
 
     def may_run(self, upstream: ListedUpstream) -> bool:
         """Return whether the stream may go on at an upstream."""
+        if not self._is_among(upstream):
+            return False
         if not self.binding.is_open:
             return self.binding.allows(upstream)
         versions = self.binding.versions
         return versions is None or versions.may_choose(upstream)
 
+    def _is_among(self, upstream: ListedUpstream) -> bool:
+        return self.only is None or upstream.upstream_id in self.only
+
 
 def _both(first: MayRun | None, second: MayRun | None) -> MayRun | None:
     """Return a check that passes where both do; None passes everywhere."""
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -38,7 +38,11 @@
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 from bronzeline_kernel.forwarding.stream_search import EarlierRunSearch
 from bronzeline_kernel.forwarding.stream_send import StreamSender
-from bronzeline_kernel.forwarding.stream_silence import is_probe_due, silence_limit_ms
+from bronzeline_kernel.forwarding.stream_silence import (
+    has_responded,
+    is_probe_due,
+    silence_limit_ms,
+)
 from bronzeline_kernel.forwarding.upstream_set import Incarnation, ListedUpstream
 
 __all__ = ["StreamRun"]
@@ -65,6 +69,8 @@
     is_over: bool = False
     counts: AttemptCounts = field(default_factory=AttemptCounts)
     mover: StreamMover = field(default_factory=StreamMover)
+    # Lost with its connection and not resumed yet.
+    _broken: Attempt | None = None
     _tried: set[Incarnation] = field(default_factory=set)
     _retried: set[Incarnation] = field(default_factory=set)
 
@@ -182,13 +188,25 @@
         self._record_fault(attempt, fault, now_ms)
         if fault.is_not_run:
             return self._after_rejection(attempt, fault, now_ms)
-        self.counts.record_lost(fault)
+        is_broken = fault is Fault.BROKEN
+        is_cut_off = is_broken or self._is_cut_off(attempt, fault)
+        self.counts.record_lost(is_cut_off=is_cut_off, is_in_doubt=is_broken)
+        if is_broken and self.route.is_resumable:
+            self._broken = attempt
+            return self._resume_broken(now_ms)
         return self._resume(attempt, fault, now_ms)
 
     def upstream_crashed(self) -> None:
         """Count an upstream that had crashed when its connection broke."""
         self.counts.n_crashes += 1
 
+    def broken_probed(
+        self, number: int, is_responding: bool, now_ms: float
+    ) -> list[Action]:
+        """Handle whether the upstream of a broken attempt responds to a probe."""
+        self.counts.record_probed(number, is_responding=is_responding)
+        return self._resume_broken(now_ms)
+
     def probed(
         self, upstream: Incarnation, is_alive: bool, now_ms: float
     ) -> list[Action]:
@@ -303,13 +321,30 @@
         Otherwise the attempt is kept: the upstream may still respond, and if the
         connection is dead, that is reported by `lost`.
         """
-        if self._resume_obstacle():
+        is_cut_off = self._is_cut_off(attempt, Fault.SILENT)
+        may_return = self._choice().may_return(attempt, now_ms)
+        if self._resume_obstacle(may_return=may_return, is_cut_off=is_cut_off):
             return []
         self._release()
         self._record_fault(attempt, Fault.SILENT, now_ms)
-        self.counts.record_lost(Fault.SILENT)
+        self.counts.record_lost(is_cut_off=is_cut_off)
         return [Abandon(attempt.number), *self._resume(attempt, Fault.SILENT, now_ms)]
 
+    def _is_cut_off(self, attempt: Attempt, fault: Fault) -> bool:
+        """Return whether an upstream is silent and may have ended."""
+        is_silent = fault is Fault.SILENT
+        return is_silent and not has_responded(attempt, self.placement.health)
+
+    def _resume_broken(self, now_ms: float) -> list[Action]:
+        """Resume after a broken attempt, unless that depends on a probe."""
+        attempt = self._broken
+        if attempt is None or self.is_over:
+            return []
+        if self.counts.awaits_probe(self.route.max_attempts):
+            return []
+        self._broken = None
+        return self._resume(attempt, Fault.BROKEN, now_ms)
+
     def _move(self, step: MoveStep, now_ms: float) -> list[Action]:
         """Perform a step of a move; it may end the attempt and go on from a copy."""
         attempt = self.attempt
@@ -321,7 +356,7 @@
             self._record_fault(attempt, fault, now_ms)
         following = self._send_moved(now_ms)
         if not following:
-            self.counts.record_lost(Fault.SILENT)
+            self.counts.record_lost(is_cut_off=True)
             following = self._resume(attempt, Fault.SILENT, now_ms)
         abandon = Abandon(attempt.number, fault, step.is_stopped)
         return [*step.actions, abandon, *following]
@@ -332,7 +367,7 @@
         if copy is None:
             return []
         send = self._send(copy.holder, now_ms, copy)
-        self.counts.record_moved()
+        self.counts.record_continued()
         return [send]
 
     def _resume(self, attempt: Attempt, fault: Fault, now_ms: float) -> list[Action]:
@@ -340,25 +375,37 @@
             return self._fail(Failure.UNKNOWN_OUTCOME, "upstream lost")
         if now_ms >= self.deadline_ms:
             return self._fail(Failure.TIMED_OUT, "deadline")
-        obstacle = self._resume_obstacle()
+        choice = self._choice()
+        retries_same = choice.may_retry_same(attempt, fault, now_ms)
+        may_return = fault is Fault.SILENT or retries_same
+        obstacle = self._resume_obstacle(may_return=may_return)
         if obstacle:
             return self._fail(Failure.UNKNOWN_OUTCOME, obstacle)
         self.budget.spend()
-        choice = self._choice()
         drops = self.mover.source_lost(attempt, now_ms)
         copy = self.mover.next_copy(now_ms) or choice.copy_after_loss(attempt, now_ms)
         if copy is not None:
             return [*drops, self._send(copy.holder, now_ms, copy)]
-        if choice.retry_same(attempt, fault, now_ms):
-            return [*drops, self._send(attempt.upstream, now_ms)]
+        if retries_same:
+            return [*drops, self._retry_same(attempt, now_ms)]
         return [*drops, *self._send_prompt(now_ms)]
 
-    def _resume_obstacle(self) -> str:
+    def _retry_same(self, attempt: Attempt, now_ms: float) -> Send:
+        self._retried.add(attempt.upstream.incarnation)
+        send = self._send(attempt.upstream, now_ms)
+        self.counts.record_continued()
+        return send
+
+    def _resume_obstacle(
+        self, *, may_return: bool = False, is_cut_off: bool = False
+    ) -> str:
         return self.counts.resume_obstacle(
             self.route.max_attempts,
             self.options.max_crashes,
             is_blocked=self.is_blocked(),
             has_budget=self.budget.has_any,
+            may_return=may_return,
+            is_cut_off=is_cut_off,
         )
 
     def _after_rejection(
@@ -434,6 +481,7 @@
             self.service,
             self._tried,
             self._retried,
+            self.counts.only_upstreams(self.route.max_attempts),
         )
 
     def _evidence(self) -> StreamEvidence:
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_send.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_send.py
@@ -41,7 +41,7 @@
         service = self.evidence.service
         route = self.binding.route.admitted
         copy_to = self._choose_copy(upstream, now_ms)
-        self.counts.n_sent += 1
+        self.counts.record_sent(upstream.upstream_id)
         number = self.counts.n_sent
         n_prompt_tokens = self.binding.request.n_prompt_tokens
         attempt = Attempt.start(
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_silence.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_silence.py
@@ -6,7 +6,7 @@
 from bronzeline_kernel.forwarding.stream_attempt import Attempt
 from bronzeline_kernel.forwarding.stream_options import StreamOptions
 
-__all__ = ["is_probe_due", "probe_interval_ms", "silence_limit_ms"]
+__all__ = ["has_responded", "is_probe_due", "probe_interval_ms", "silence_limit_ms"]
 
 
 def silence_limit_ms(
@@ -31,6 +31,15 @@
     return limits.first_event_ms
 
 
+def has_responded(attempt: Attempt, health: UpstreamHealth) -> bool:
+    """Return whether an upstream has responded to others since it has been silent.
+
+    It then runs and can be reached, however long it is silent.
+    """
+    silent_from_ms = attempt.progress_at_ms + attempt.limits.probe_after_ms
+    return health.last_alive_at_ms(attempt.upstream.incarnation) >= silent_from_ms
+
+
 def probe_interval_ms(attempt: Attempt, options: StreamOptions) -> float:
     """Return how often a silent upstream is probed."""
     if attempt.has_events or attempt.is_from_copy:
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_driver.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_driver.py
@@ -59,6 +59,12 @@
     def fail_attempt(self, number, fault=Fault.BROKEN):
         return self.collect(self.run.lost(number, fault, self.now_ms))
 
+    def lose_upstream(self, number, fault=Fault.BROKEN):
+        """Fail an attempt whose upstream then responds to no probe."""
+        actions = self.fail_attempt(number, fault)
+        probed = self.run.broken_probed(number, False, self.now_ms)
+        return actions + self.collect(probed)
+
     def wait(self, duration_ms, step_ms=10.0):
         """Advance the time in steps; return each action with its time."""
         end_ms, timed_actions = self.now_ms + duration_ms, []
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_mover_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_mover_tests.py
@@ -106,7 +106,7 @@
         self.assertFalse(driver.event(1, 7))
         self.assertTrue(driver.event(2, 7))
         self.assertEqual(driver.run.budget.n_left, n_left)
-        self.assertEqual(counts.n_sent - counts.n_moved, 1)
+        self.assertEqual(counts.n_used, 1)
         driver.check_ended(self, "moved", drops=[])
 
     def test_events_in_flight_are_awaited_before_the_stream_goes_on(self):
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_run_tests.py
@@ -123,7 +123,7 @@
         for number in range(1, 40):
             if driver.run.is_over:
                 break
-            driver.fail_attempt(number, fault)
+            driver.lose_upstream(number, fault)
         end = driver.actions[-1]
         self.assertEqual(end.failure, failure)
         self.assertEqual(end.retry_after_ms > 0.0, failure is Failure.NOT_RUN)
@@ -159,7 +159,7 @@
         driver = Driver(route=route(max_attempts=3), budget=20.0)
         driver.start()
         for number in range(1, 8):
-            driver.fail_attempt(number, fault)
+            driver.lose_upstream(number, fault)
         sent = [item for item in driver.actions if isinstance(item, Send)]
         self.assertEqual(len(sent), n_sent)
 
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/stream_silence_tests.py
@@ -35,6 +35,14 @@
         self.assertLessEqual(timed_actions[-1][0] - began_ms, 530.0)
         self.assertIsNotNone(timed_actions[-1][1].copy_from)
 
+    def wait_with_responses(self, driver, duration_ms):
+        """Advance the time while each upstream responds to its probes."""
+        for _ in range(int(duration_ms / 10.0)):
+            for _, action in driver.wait(10.0):
+                if isinstance(action, Probe):
+                    upstream = action.upstream.incarnation
+                    driver.run.probed(upstream, True, driver.now_ms)
+
     @params(1, 2, 3)
     def test_silent_upstreams_that_respond_to_probes_use_up_attempts(self, n_attempts):
         """A stream left them for any number of others, beside the route's limit."""
@@ -42,14 +50,43 @@
         driver.start()
         for _ in range(6):
             driver.events(driver.run.attempt.number, 2)
-            for _ in range(60):
-                for _, action in driver.wait(10.0):
-                    if isinstance(action, Probe):
-                        upstream = action.upstream.incarnation
-                        driver.run.probed(upstream, True, driver.now_ms)
+            self.wait_with_responses(driver, 600.0)
         sent = {x.upstream.upstream_id for x in driver.actions if isinstance(x, Send)}
         self.assertLessEqual(len(sent), n_attempts)
 
+    def test_a_stream_goes_on_at_an_upstream_that_it_left_once_attempts_are_used(self):
+        """It waited for a silent upstream until its deadline."""
+        driver = Driver(per_zone=3, route=route(max_attempts=2))
+        driver.start()
+        silent = []
+        for _ in range(3):
+            driver.events(driver.run.attempt.number, 2)
+            silent.append(driver.run.attempt.upstream)
+            self.wait_with_responses(driver, 700.0)
+        self.assertEqual(silent, [silent[0], silent[1], silent[0]])
+        self.assertNotEqual(silent[0], silent[1])
+
+    def test_a_stream_stays_if_the_upstream_that_it_left_is_gone(self):
+        """It ended although its silent upstream might still respond."""
+        driver = Driver(per_zone=3, route=route(max_attempts=2))
+        first = driver.start().upstream
+        for number in (1, 2):
+            driver.events(number, 2)
+            self.wait_with_responses(driver, 700.0)
+            driver.placement.upstreams.remove(first.upstream_id, driver.now_ms)
+        self.assertFalse(driver.run.is_over)
+        self.assertEqual(driver.run.attempt.number, 2)
+
+    @params(1, 2)
+    def test_streams_leave_silent_upstreams_that_respond_to_no_probe(self, n_attempts):
+        """With its attempts used up a stream stayed at an upstream that had ended."""
+        driver = Driver(per_zone=3, route=route(max_attempts=n_attempts))
+        driver.start()
+        for _ in range(3):
+            driver.events(driver.run.attempt.number, 2)
+            kinds = [type(action) for _, action in driver.wait(1_000.0)]
+            self.assertIn(Send, kinds)
+
     def test_dead_upstream_is_abandoned_immediately(self):
         driver = Driver()
         first = driver.start()
@@ -117,6 +154,83 @@
             self.assertNotEqual(sent[0][1].upstream.availability_zone, "zone-a")
 
 
+class BrokenConnectionTests(unittest.TestCase):
+    def broken(self, n_attempts):
+        """Return a driver whose last attempt is broken and its upstream not probed.
+
+        Each upstream before is tried twice, as it may have closed the connection only.
+        """
+        driver = Driver(per_zone=3, route=route(max_attempts=n_attempts))
+        driver.start()
+        self.last_number = 2 * n_attempts - 1
+        for number in range(1, self.last_number):
+            driver.fail_attempt(number)
+            driver.collect(driver.run.broken_probed(number, True, driver.now_ms))
+        self.assertEqual(len(self.upstreams(driver)), n_attempts)
+        self.assertEqual(driver.fail_attempt(self.last_number), [])
+        return driver
+
+    def probed(self, driver, number, is_responding):
+        return driver.collect(
+            driver.run.broken_probed(number, is_responding, driver.now_ms)
+        )
+
+    def upstreams(self, driver):
+        sent = [item for item in driver.actions if isinstance(item, Send)]
+        return {item.upstream.upstream_id for item in sent}
+
+    @params(1, 2, 3)
+    def test_running_upstreams_use_up_attempts(self, n_attempts):
+        """A stream left them for any number of others, beside the route's limit."""
+        driver = self.broken(n_attempts)
+        self.assertIsInstance(self.probed(driver, self.last_number, True)[-1], Send)
+        end = driver.fail_attempt(self.last_number + 1)[-1]
+        self.assertEqual(end.reason, "attempts used up")
+        self.assertEqual(len(self.upstreams(driver)), n_attempts)
+
+    @params(1, 2, 3)
+    def test_a_crashed_upstream_uses_up_none(self, n_attempts):
+        """A stream that could go on elsewhere would end with its upstream."""
+        driver = self.broken(n_attempts)
+        self.probed(driver, self.last_number, False)
+        driver.fail_attempt(self.last_number + 1, Fault.UNREACHABLE)
+        self.assertEqual(len(self.upstreams(driver)), n_attempts + 1)
+
+    def test_attempts_in_doubt_are_counted_together(self):
+        """Breaks that come faster than the probes would use none up."""
+        driver = Driver(per_zone=3, route=route(max_attempts=2))
+        driver.start()
+        for number in (1, 2):
+            self.assertIsInstance(driver.fail_attempt(number)[-1], Send)
+        self.assertEqual(driver.fail_attempt(3), [])
+        self.assertEqual(self.probed(driver, 1, True), [])
+        self.assertIsInstance(self.probed(driver, 3, True)[-1], Send)
+        end = driver.fail_attempt(4)[-1]
+        self.assertEqual(end.reason, "attempts used up")
+
+    def test_a_second_result_counts_no_other_attempt(self):
+        """A repeated result would use up an attempt that was not made."""
+        driver = Driver(per_zone=3, route=route(max_attempts=3))
+        driver.start()
+        driver.fail_attempt(1)
+        for _ in range(2):
+            driver.run.broken_probed(1, True, driver.now_ms)
+        for number in (2, 3):
+            self.assertIsInstance(driver.fail_attempt(number)[-1], Send)
+
+    def test_a_result_after_the_caller_left_starts_nothing(self):
+        """The stream would run on for nobody."""
+        driver = self.broken(1)
+        driver.run.cancel()
+        self.assertEqual(driver.run.broken_probed(1, False, driver.now_ms), [])
+
+    def test_the_deadline_ends_a_stream_that_waits_for_a_probe(self):
+        """Without a result the caller would wait for ever."""
+        driver = self.broken(1)
+        driver.now_ms = 25_000.0
+        self.assertEqual(driver.run.tick(driver.now_ms)[-1].failure, Failure.TIMED_OUT)
+
+
 class CopyTests(unittest.TestCase):
     def remove_holder(self, driver, first):
         driver.placement.upstreams.remove(first.copy_to.upstream_id, driver.now_ms)
