Count crashes of engines that one request ran on against that request

Cause: two engines of a zone that crash within 500 ms were the zone's loss, as a request runs on one engine at a time. It goes on at the next one within a part of that time. Change: engines on which one request ran count as one crash when a zone's loss is told from chance. Each crash is judged once its window has passed, by all reports beside it: reports of bystanders that came first made it a zone loss for good. Why it works: a zone loss has crashes of engines on which the request did not run.

--- a/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/request_quarantine.py
@@ -53,21 +53,21 @@
 class RequestQuarantineOptions:
     """Set how zone losses are recognized and how long a quarantine lasts."""
 
-    # Engines of one zone that die within this time of each other are a zone
-    # loss: a request runs on one engine at a time and can't cause it.
+    # Engines of one zone that crash within this time of each other are a zone loss,
+    # unless one request ran on them.
     zone_window_ms: float = 500.0
     # A caller may keep resending a request that crashes engines.
     quarantine_ms: float = 60_000.0
 
 
 @dataclass
-class PendingDeath:
-    """Hold a death until it is known whether it is part of a zone loss."""
+class ReportedCrash:
+    """Hold a crash until it is known whether it and those beside it are a zone loss."""
 
     lost: EngineLost
     at_ms: float
     is_own: bool
-    is_zone_loss: bool = False
+    is_confirmed: bool = False
 
 
 @dataclass
@@ -80,41 +80,51 @@
     n_engines: EngineCount = lambda zone: 0
     on_quarantined: Callable[[QuarantinedRequest], None] = lambda quarantined: None
     on_zone_loss: Callable[[EngineLost], None] = lambda lost: None
-    _pending: list[PendingDeath] = field(default_factory=list)
+    _crashes: list[ReportedCrash] = field(default_factory=list)
 
     def engine_lost(self, lost: EngineLost, now_ms: float, is_own: bool) -> None:
-        """Record an engine death that this router or a peer detected."""
-        self._pending.append(PendingDeath(lost, now_ms, is_own))
-        together = [item for item in self._pending if item.lost.zone == lost.zone]
-        n_died = len({item.lost.upstream_id for item in together})
-        is_loss = is_zone_loss(n_died, self.n_engines(lost.zone), MAX_BY_CHANCE)
-        is_known = any(
-            item.is_zone_loss
-            for item in together
-            if item.lost.upstream_id == lost.upstream_id
-        )
-        for item in together if is_loss else together[-1:]:
-            item.is_zone_loss |= is_loss or is_known
+        """Record an engine crash that this router or a peer detected."""
+        self._crashes.append(ReportedCrash(lost, now_ms, is_own))
 
     def confirm_deaths(self, now_ms: float) -> list[EngineLost]:
-        """Count deaths outside zone losses; return this router's own, to announce."""
-        due = [
-            item
-            for item in self._pending
-            if now_ms - item.at_ms >= self.options.zone_window_ms
-        ]
-        self._pending = [item for item in self._pending if item not in due]
-        alone = [item for item in due if not item.is_zone_loss]
-        for item in due:
-            if item.is_zone_loss and item.is_own:
-                self.on_zone_loss(item.lost)
-        for item in alone:
-            ran_ms = item.lost.ran_ms
-            self.tracker.engine_died(item.lost.upstream_id, ran_ms, item.at_ms)
+        """Count crashes outside zone losses; return this router's own, to announce."""
+        window_ms = self.options.zone_window_ms
+        alone = []
+        for crash in self._crashes:
+            if crash.is_confirmed or now_ms - crash.at_ms < window_ms:
+                continue
+            crash.is_confirmed = True
+            if not self._is_zone_loss(crash):
+                alone.append(crash)
+            elif crash.is_own:
+                self.on_zone_loss(crash.lost)
+        # A confirmed crash may be beside one that is not.
+        self._crashes = [x for x in self._crashes if now_ms - x.at_ms < 2.0 * window_ms]
+        for crash in alone:
+            ran_ms = crash.lost.ran_ms
+            self.tracker.engine_died(crash.lost.upstream_id, ran_ms, crash.at_ms)
             for request_hash in ran_ms:
                 self._quarantine_if_to_blame(request_hash, now_ms)
         self.tracker.expire(now_ms)
-        return [item.lost for item in alone if item.is_own]
+        return [crash.lost for crash in alone if crash.is_own]
+
+    def _is_zone_loss(self, crash: ReportedCrash) -> bool:
+        """Return whether too many engines of a zone crashed within a moment.
+
+        Those that one request ran on one after the other count as one: it may have
+        crashed them all.
+        """
+        window_ms = self.options.zone_window_ms
+        upstreams: dict[str, set[str]] = {}
+        for item in self._crashes:
+            is_beside = abs(item.at_ms - crash.at_ms) < window_ms
+            if is_beside and item.lost.zone == crash.lost.zone:
+                for request_hash in item.lost.ran_ms:
+                    upstreams.setdefault(request_hash, set()).add(item.lost.upstream_id)
+        n_crashed = len(set().union(*upstreams.values()))
+        n_of_one_request = max((len(ids) for ids in upstreams.values()), default=1)
+        n_apart = n_crashed - n_of_one_request + 1
+        return is_zone_loss(n_apart, self.n_engines(crash.lost.zone), MAX_BY_CHANCE)
 
     def is_blocked(self, request_hash: str, now_ms: float) -> bool:
         """Return whether a request is quarantined."""
--- a/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
+++ b/packages/kernel/bronzeline_kernel/tests/forwarding/request_quarantine_tests.py
@@ -74,6 +74,51 @@
             )
         self.assertTrue(self.is_blocked("killer"))
 
+    @params(1, 2)
+    def test_reports_of_single_requests_add_up(self, n_requests_beside):
+        """Bystanders whose reports came first made the crashes a zone loss."""
+        for number in range(3):
+            zone, beside = f"zone-{number}", range(n_requests_beside)
+            self.record_deaths(
+                *(lost(f"a{number}", zone, f"a-{number}-{x}") for x in beside),
+                lost(f"a{number}", zone, "killer"),
+                *(lost(f"b{number}", zone, f"b-{number}-{x}") for x in beside),
+                lost(f"b{number}", zone, "killer"),
+            )
+        self.assertTrue(self.is_blocked("killer"))
+
+    def test_a_zone_is_lost_with_engines_that_one_request_left(self):
+        """A stream that goes on in a zone that is being lost was quarantined."""
+        for number in range(9):
+            zone = f"zone-{number % 3}"
+            self.record_deaths(
+                lost(f"a{number}", zone, "long"),
+                lost(f"b{number}", zone, "long", ran_ms=10.0),
+                lost(f"c{number}", zone, f"other-{number}"),
+                apart_ms=6_000.0,
+            )
+        self.assertFalse(self.is_blocked("long"))
+        self.assertEqual(self.announced, [])
+
+    def test_a_crash_counts_with_one_that_was_confirmed_before(self):
+        """The later one of two was taken for a crash by itself."""
+        for number in range(9):
+            zone = f"zone-{number % 3}"
+            self.quarantine.engine_lost(
+                lost(f"b{number}", zone, f"other-{number}"), self.now_ms, True
+            )
+            self.now_ms += WINDOW_MS - 100.0
+            self.quarantine.confirm_deaths(self.now_ms)
+            self.quarantine.engine_lost(
+                lost(f"a{number}", zone, "long"), self.now_ms, True
+            )
+            for _ in range(3):
+                self.now_ms += 300.0
+                self.announced += self.quarantine.confirm_deaths(self.now_ms)
+            self.now_ms += 6_000.0
+        self.assertFalse(self.is_blocked("long"))
+        self.assertEqual(self.announced, [])
+
     @params((3, False), (40, True))
     def test_single_deaths_of_a_large_zone_are_no_zone_loss(self, n_engines, expected):
         self.quarantine.n_engines = lambda zone: n_engines
