Try a quarantined request at one router at a time

Cause: a quarantine ended by its time alone. Each router let the request in and needed three new crashes, and Retry-After had told all sends the same moment. A stream on trial waits for the probe of an upstream that it lost. Retry-After of quarantined requests is spread over 2 s. Why it works: the block is there before the trial, so nobody has to learn of its crash in time.

--- a/packages/daemon/bronzeline_daemon/forwarding/event_log.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/event_log.py
@@ -46,6 +46,8 @@
         quarantine.on_blamed = self._on_parts_quarantined
         quarantine.on_block_learned = self._on_block_learned
         quarantine.on_answered = self._on_parts_answered
+        quarantine.on_trial = self._on_trial
+        quarantine.on_trial_crashed = self._on_trial_crashed
 
     def log_admission(self, report: AdmissionReport) -> None:
         """Log whether a stream is sent, waits or is refused, and count it."""
@@ -167,6 +169,19 @@
             for_ms=round(block.remaining_ms),
         )
 
+    def _on_trial(self, block: Block) -> None:
+        self._logs.warn(
+            "quarantine_trial", keys=",".join(block.keys), round=block.round
+        )
+
+    def _on_trial_crashed(self, block: Block) -> None:
+        self._logs.warn(
+            "quarantine_trial_crashed",
+            keys=",".join(block.keys),
+            round=block.round,
+            for_ms=round(block.remaining_ms),
+        )
+
     def _on_parts_answered(self, answered: PartsAnswered) -> None:
         self._logs.warn("parts_released", parts=",".join(answered.part_ids))
 
--- a/packages/daemon/bronzeline_daemon/forwarding/peers.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/peers.py
@@ -308,7 +308,8 @@
         for report in limits.reports(self._clock.now_ms()):
             self._report_limit(report)
 
-    def _report_quarantine(self) -> None:
+    def report_quarantine(self) -> None:
+        """Tell all peers what they have to know of requests that end engines."""
         now_ms = self._clock.now_ms()
         for message in self._quarantine.tick(now_ms, len(self.peer_list)):
             if isinstance(message, EngineLost):
@@ -321,7 +322,7 @@
         n_unchanged = 0
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
-            self._report_quarantine()
+            self.report_quarantine()
             self._report_limits()
             load = placement.own_load()
             has_new_prompts = load.prompts != previous.prompts
--- a/packages/daemon/bronzeline_daemon/forwarding/relay.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay.py
@@ -137,7 +137,9 @@
                     )
                 case Finish(number):
                     self.finish(number)
-                    self.context.quarantine.request_completed(self._identity.work_hash)
+                    self.context.quarantine.request_completed(
+                        self._identity.work_hash, self.now_ms()
+                    )
                     self._report_end(SERVED, "")
                 case Fail():
                     self._fail(action)
--- a/packages/daemon/bronzeline_daemon/forwarding/relay_factory.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/relay_factory.py
@@ -12,6 +12,7 @@
 from bronzeline_daemon.forwarding.rollout_exchange import RolloutExchange
 from bronzeline_daemon.forwarding.stream_relay import StreamRelay
 from bronzeline_kernel.forwarding import (
+    TRIAL_OPTIONS,
     Admitted,
     Block,
     BudgetShare,
@@ -30,6 +31,7 @@
     StreamAdmission,
     StreamBinding,
     StreamMover,
+    StreamOptions,
     StreamOrigins,
     StreamRun,
     UrgencyTerms,
@@ -68,9 +70,13 @@
         """Return the relay of a request; only the relay keeps the body."""
         request = request_with_body.with_body(b"")
         deadline_ms = now_ms + allowed_time_ms(request, admitted.route)
+        trial = self.quarantine.begin_trial(identity, now_ms)
+        if trial is not None:
+            # The same request may be on its way to other routers.
+            self.peers.report_quarantine()
         if admitted.route.kind is WorkKind.STREAM:
             stream = self._stream_run(
-                request, admitted, request_route, identity, deadline_ms
+                request, admitted, request_route, identity, deadline_ms, trial
             )
             return StreamRelay(
                 self.context,
@@ -104,6 +110,7 @@
         request_route: RequestRoute,
         identity: RequestIdentity,
         deadline_ms: float,
+        trial: Block | None,
     ) -> StreamRun:
         route, workspace = admitted.route, admitted.workspace
         service = request_route.next_service()
@@ -120,7 +127,16 @@
         )
 
         def is_blocked() -> bool:
-            return self.find_block(request, identity) is not None
+            block = self.find_block(request, identity)
+            is_own = (
+                trial is not None and block is not None and trial.is_round_of(block)
+            )
+            return block is not None and not is_own
+
+        def on_answered() -> None:
+            now_ms = self._now_ms()
+            self.quarantine.prompt_answered(request.shared_part_ids, now_ms)
+            self.quarantine.trials.passed(identity.work_hash, now_ms)
 
         return StreamRun(
             binding,
@@ -128,12 +144,11 @@
             self.placement,
             self.budgets.budget(service, self.peers.n_routers),
             deadline_ms,
+            options=TRIAL_OPTIONS if trial is not None else StreamOptions(),
             find_copy=lambda at_ms: self.runs.pop_copy(identity.run_hash, at_ms),
             is_blocked=is_blocked,
             mover=StreamMover(self.moves, binding, route.max_gap_ms, is_blocked),
-            on_answered=lambda: self.quarantine.prompt_answered(
-                request.shared_part_ids, self._now_ms()
-            ),
+            on_answered=on_answered,
             admission=RequestAdmission(
                 self.admission,
                 request,
--- a/packages/daemon/bronzeline_daemon/forwarding/service.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/service.py
@@ -68,6 +68,9 @@
 }
 # Some streams end within this time.
 FULL_RETRY_MS = 1_000.0
+# Several sends of a quarantined request wait for the same end. They return one after
+# the other, so that all routers know of the first one's trial by the second one's.
+RETURN_SPREAD_MS = 2_000.0
 
 
 class ForwardingService:
@@ -190,7 +193,10 @@
         block = self._relays.find_block(request, identity)
         if isinstance(admitted, Admitted) and block is not None:
             reason = f"ends engines: {' '.join(block.keys)}"
-            admitted = Refused(Refusal.QUARANTINED, reason, block.remaining_ms)
+            retry_after_ms = block.remaining_ms + self._random.uniform(
+                0.0, RETURN_SPREAD_MS
+            )
+            admitted = Refused(Refusal.QUARANTINED, reason, retry_after_ms)
         if isinstance(admitted, Refused):
             self._refuse(request, identity, admitted, response)
         else:
--- a/packages/kernel/bronzeline_kernel/forwarding/__init__.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/__init__.py
@@ -129,6 +129,10 @@
     Quarantine,
     QuarantineMessage,
 )
+from bronzeline_kernel.forwarding.quarantine_trials import (
+    QuarantineTrials,
+    TrialOptions,
+)
 from bronzeline_kernel.forwarding.regions import (
     Distance,
     RegionChange,
@@ -199,7 +203,7 @@
     MoveReport,
 )
 from bronzeline_kernel.forwarding.stream_mover import StreamMover
-from bronzeline_kernel.forwarding.stream_options import StreamOptions
+from bronzeline_kernel.forwarding.stream_options import TRIAL_OPTIONS, StreamOptions
 from bronzeline_kernel.forwarding.stream_origins import (
     OriginAsked,
     OriginUnknown,
@@ -239,6 +243,7 @@
     "FAN_OUT",
     "N_BODY_COPIES",
     "N_RUN_HOLDERS",
+    "TRIAL_OPTIONS",
     "Abandon",
     "Action",
     "Address",
@@ -330,6 +335,7 @@
     "ProofSource",
     "Quarantine",
     "QuarantineMessage",
+    "QuarantineTrials",
     "QuarantinedRequest",
     "Refusal",
     "Refused",
@@ -389,6 +395,7 @@
     "StreamOrigin",
     "StreamOrigins",
     "StreamRun",
+    "TrialOptions",
     "UpstreamAdopted",
     "UpstreamCapacity",
     "UpstreamChange",
--- a/packages/kernel/bronzeline_kernel/forwarding/attempt_counts.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/attempt_counts.py
@@ -30,6 +30,11 @@
     _in_doubt: set[int] = field(default_factory=set)
     _upstream_ids: set[str] = field(default_factory=set)
 
+    @property
+    def has_doubt(self) -> bool:
+        """Return whether the upstream of a lost attempt is being probed."""
+        return bool(self._in_doubt)
+
     @property
     def n_used(self) -> int:
         """Return how many attempts are used up."""
--- a/packages/kernel/bronzeline_kernel/forwarding/block_list.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/block_list.py
@@ -42,6 +42,10 @@
         """Return whether requests are refused."""
         return not self.is_lifted and self.remaining_ms > 0.0
 
+    def is_round_of(self, other: Block) -> bool:
+        """Return whether both are records of the same round."""
+        return (self.keys, self.round) == (other.keys, other.round)
+
 
 @dataclass
 class BlockRecord:
--- a/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/quarantine.py
@@ -14,6 +14,7 @@
 )
 from bronzeline_kernel.forwarding.messages import CallerRequest
 from bronzeline_kernel.forwarding.part_blame import BlamedParts, PartBlame, PromptLost
+from bronzeline_kernel.forwarding.quarantine_trials import QuarantineTrials
 from bronzeline_kernel.forwarding.request_identity import RequestIdentity
 from bronzeline_kernel.forwarding.request_quarantine import (
     EngineLost,
@@ -77,9 +78,12 @@
     def __init__(self, random: Random, n_engines: EngineCount = lambda zone: 0) -> None:
         self.blocks = BlockList()
         self.requests = RequestQuarantine(blocks=self.blocks, n_engines=n_engines)
+        self.trials = QuarantineTrials(self.blocks)
         self.parts = PartBlame(n_engines=n_engines)
         self.on_blamed: Callable[[BlamedParts], None] = _ignore
         self.on_block_learned: Callable[[Block], None] = _ignore
+        self.on_trial: Callable[[Block], None] = _ignore
+        self.on_trial_crashed: Callable[[Block], None] = _ignore
         self.on_answered: Callable[[PartsAnswered], None] = _ignore
         self._random = random
         self._pending: list[_PendingPrompt] = []
@@ -96,6 +100,16 @@
         """Return a block that refuses a request with these keys, or None."""
         return self.blocks.find(keys, now_ms)
 
+    def begin_trial(self, identity: RequestIdentity, now_ms: float) -> Block | None:
+        """Let a request in that was quarantined; return its block at other routers.
+
+        Return None for a request that is no trial.
+        """
+        block = self.trials.begin(identity.work_hash, now_ms)
+        if block is not None:
+            self.on_trial(block)
+        return block
+
     def engine_died(
         self, lost: EngineLost, prompt: PromptLost | None, now_ms: float
     ) -> None:
@@ -104,6 +118,10 @@
         `prompt` is None if the engine had begun to answer.
         """
         self._record_engine(lost, now_ms, is_own=True)
+        for request_hash in lost.ran_ms:
+            block = self.trials.crashed(request_hash, now_ms)
+            if block is not None:
+                self.on_trial_crashed(block)
         if prompt is None or not prompt.part_ids:
             return
         self._record_prompt(prompt, now_ms, is_own=True)
@@ -114,9 +132,10 @@
         suspected = set(self.parts.answered(part_ids, now_ms))
         self._announce_answered(suspected | self._lift(part_ids, now_ms))
 
-    def request_completed(self, request_hash: str) -> None:
+    def request_completed(self, request_hash: str, now_ms: float) -> None:
         """Clear the deaths counted against a request that ran to completion."""
         self.requests.request_completed(request_hash)
+        self.trials.passed(request_hash, now_ms)
 
     def receive(self, message: QuarantineMessage, now_ms: float) -> None:
         """Handle a message of a peer."""
@@ -147,6 +166,9 @@
         messages += self.requests.confirm_deaths(now_ms)
         messages += self._lost_prompts(now_ms)
         messages += self._block_next(now_ms)
+        changed = self.trials.pop_changed()
+        if changed:
+            messages.append(BlocksChanged(changed))
         if self._answered and self._random.random() * n_peers <= N_ANNOUNCING_ROUTERS:
             messages.append(PartsAnswered(tuple(sorted(self._answered))))
             self._answered.clear()
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_options.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["StreamOptions"]
+__all__ = ["TRIAL_OPTIONS", "StreamOptions"]
 
 
 @dataclass(frozen=True)
@@ -40,8 +40,14 @@
     # After three upstreams crashed in a row while running a stream, it either crashes
     # engines or was unlucky; retrying is not worth the risk to another engine.
     max_crashes: int = 3
+    # A request that was quarantined may crash one engine at most, so it waits for the
+    # probe of each upstream that it lost.
+    is_trial: bool = False
     # An engine that goes on for this long after the first event has answered the
     # prompt: one that the prompt ends dies at once.
     answered_after_ms: float = 300.0
     # Keeps one request from trying every upstream of a large fleet.
     max_rejections: int = 4
+
+
+TRIAL_OPTIONS = StreamOptions(max_crashes=1, is_trial=True)
--- a/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
+++ b/packages/kernel/bronzeline_kernel/forwarding/stream_run.py
@@ -340,7 +340,8 @@
         attempt = self._broken
         if attempt is None or self.is_over:
             return []
-        if self.counts.awaits_probe(self.route.max_attempts):
+        awaits_crash = self.options.is_trial and self.counts.has_doubt
+        if awaits_crash or self.counts.awaits_probe(self.route.max_attempts):
             return []
         self._broken = None
         return self._resume(attempt, Fault.BROKEN, now_ms)
