--- a/packages/daemon/bronzeline_daemon/forwarding/exchange.py
+++ b/packages/daemon/bronzeline_daemon/forwarding/exchange.py
@@ -19,7 +19,7 @@
 
 from bronzeline_daemon.forwarding.connection_pool import Connection, ConnectionPool
 from bronzeline_daemon.futures import consume_exception
-from bronzeline_kernel.exceptions import StreamBrokenError
+from bronzeline_kernel.exceptions import ResponseTooLargeError, StreamBrokenError
 from bronzeline_kernel.forwarding import Address, Header, ResponseBuffer
 from bronzeline_kernel.response_status import is_framed, is_response_status
 
@@ -248,7 +248,7 @@
         raise StreamBrokenError(f"no response within {timeout_ms:.0f} ms") from None
     except StreamBrokenError:
         if is_too_large:
-            raise StreamBrokenError("the response is too large") from None
+            raise ResponseTooLargeError("the response is too large") from None
         raise
     finally:
         response.body = buffer.pop()
--- a/packages/daemon/bronzeline_daemon/tests/forwarding/fetch_tests.py
+++ b/packages/daemon/bronzeline_daemon/tests/forwarding/fetch_tests.py
@@ -9,7 +9,7 @@
 from bronzeline_daemon.clock import BootClock
 from bronzeline_daemon.forwarding.connection_pool import ConnectionPool
 from bronzeline_daemon.forwarding.exchange import OutgoingRequest, fetch
-from bronzeline_kernel.exceptions import StreamBrokenError
+from bronzeline_kernel.exceptions import ResponseTooLargeError, StreamBrokenError
 from bronzeline_kernel.forwarding import HeldKind, MemoryAccount, ResponseLimits
 
 LIMITS = ResponseLimits(total_bytes=256 * 1024, per_upstream_bytes=128 * 1024)
@@ -55,7 +55,8 @@
     def test_a_body_beyond_the_bound_is_no_whole_response(self, way, n_exchanges):
         """A body without length was returned up to the bound, as if it were whole."""
         results, n_buffered = asyncio.run(fetch_all(way, 1_000, n_exchanges))
-        self.assertEqual({type(item) for item in results}, {StreamBrokenError})
+        self.assertEqual({type(item) for item in results}, {ResponseTooLargeError})
+        self.assertTrue(issubclass(ResponseTooLargeError, StreamBrokenError))
         self.assertIn("the response is too large", map(str, results))
         self.assertEqual(n_buffered, 0)
 
--- a/packages/kernel/bronzeline_kernel/exceptions.py
+++ b/packages/kernel/bronzeline_kernel/exceptions.py
@@ -14,8 +14,10 @@
     "PluginError",
     "Problem",
     "RequestError",
+    "ResponseTooLargeError",
     "SettingsError",
     "StoreError",
+    "StoreResponseTooLargeError",
     "StoreUnavailableError",
     "StreamBrokenError",
     "StreamFencedError",
@@ -74,6 +76,10 @@
     """Report a call to the object API that certainly had no effect."""
 
 
+class StoreResponseTooLargeError(StoreUnavailableError):
+    """Report a call to the object API whose response exceeds what may be buffered."""
+
+
 class AnswerLostError(StoreError):
     """Report a call to the object API that may or may not have taken effect."""
 
@@ -83,7 +89,7 @@
 
 
 class HistoryLostError(StoreError):
-    """Report a watch from a revision that the store no longer retains."""
+    """Report a watch from a revision from which the changes can't be read."""
 
 
 class ConfigConflictError(BronzelineError):
@@ -133,3 +139,7 @@
 
 class StreamBrokenError(UpstreamError):
     """Report a connection that failed after request bytes may have been sent."""
+
+
+class ResponseTooLargeError(StreamBrokenError):
+    """Report a response that exceeds what may be buffered."""
